--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"copperramp/brain"
+	"moorstack/brain"
 )
 
 // printer is a host that only prints what it is asked to do.
--- a/cmd/drill/decode.go
+++ b/cmd/drill/decode.go
@@ -8,7 +8,8 @@
 
 	"github.com/go-faster/jx"
 
-	"copperramp/brain"
+	"moorstack/brain"
+	"moorstack/internal/settings"
 )
 
 // field is a bit for each event field that some event requires.
@@ -90,7 +91,6 @@
 	worker  uint32
 	took    int64
 	settled bool
-	report  brain.Report
 	sort    int
 	level   float64
 	moment  int64
@@ -98,7 +98,22 @@
 	form    int
 	by      int
 	rows    []brain.Worker
-	x0, x1  float64 // load report values whose meaning the settings give
+	values  []value // of the load report
+}
+
+// value is one value of a load report, by its name on the wire.
+type value struct {
+	name string
+	v    float64
+}
+
+// load gives the event's load report; the settings say what its free values hold.
+func (ev *event) load(names settings.ReportNames) brain.Report {
+	r := brain.NoReport
+	for _, v := range ev.values {
+		names.Set(&r, v.name, v.v)
+	}
+	return r
 }
 
 // decoder reads lines into an event that it reuses.
@@ -111,7 +126,7 @@
 func (d *decoder) decode(line []byte) (*event, error) {
 	d.jx.ResetBytes(line)
 	ev := &d.ev
-	*ev = event{report: brain.NoReport, x0: -1, x1: -1}
+	*ev = event{values: ev.values[:0]}
 	if d.jx.Next() != jx.Object {
 		return nil, fmt.Errorf("not a JSON object")
 	}
@@ -280,7 +295,6 @@
 	if err != nil {
 		return err
 	}
-	r := &ev.report
 	for it.Next() {
 		if d.jx.Next() != jx.Number {
 			if err := d.jx.Skip(); err != nil {
@@ -292,23 +306,7 @@
 		if err != nil {
 			return err
 		}
-		r.Told = true
-		switch string(it.Key()) {
-		case "x0":
-			ev.x0 = v
-		case "x1":
-			ev.x1 = v
-		case "busy_reqs":
-			r.InFlight = v
-		case "pending":
-			r.Queue = v
-		case "cpu_share":
-			r.Busy = v
-		case "served_ps":
-			r.Served = v
-		case "failed_ps":
-			r.Failed = v
-		}
+		ev.values = append(ev.values, value{string(it.Key()), v})
 	}
 	return it.Err()
 }
--- a/cmd/drill/drill_test.go
+++ b/cmd/drill/drill_test.go
@@ -7,7 +7,8 @@
 	"testing"
 	"time"
 
-	"copperramp/brain"
+	"moorstack/brain"
+	"moorstack/internal/settings"
 )
 
 const testParams = `{"az":0,"me":0,"fleet_size":2,"classes":[{"name":"c","credit":1,"effect":"retryable",` +
@@ -175,11 +176,15 @@
 
 // The further rules and the goal's share of misses reach the module.
 func TestFurtherSettings(t *testing.T) {
-	set, _, err := settings([]byte(`{"classes":[],"blend":{"punctual":0.2,"miss_allowed":0.02},"contract":` +
+	p, err := settings.Parse([]byte(`{"classes":[],"blend":{"punctual":0.2,"miss_allowed":0.02},"contract":` +
 		`{"free_resends":5,"repeat_ratio":0.03,"budget_span":5000000000,"full_unproven":true}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
+	set, err := p.Brain()
+	if err != nil {
+		t.Fatal(err)
+	}
 	rules := brain.Rules{Budget: 5 * time.Second, FreeFurther: 5, FurtherShare: 0.03, FullUnproven: true}
 	if set.Rules != rules || set.Goal.Punctual != 0.2 || set.Goal.MissAllowed != 0.02 {
 		t.Errorf("rules %+v, goal %+v", set.Rules, set.Goal)
--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -6,14 +6,15 @@
 
 	"github.com/go-faster/jx"
 
-	"copperramp/brain"
+	"moorstack/brain"
+	"moorstack/internal/settings"
 )
 
 // instance hosts one balancer: it is the balancer's Actions, written as lines.
 type instance struct {
 	who   string
 	out   *jx.Writer
-	names reportNames
+	names settings.ReportNames
 	bal   *brain.Balancer
 }
 
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -15,7 +15,8 @@
 
 	"github.com/go-faster/jx"
 
-	"copperramp/brain"
+	"moorstack/brain"
+	"moorstack/internal/settings"
 )
 
 func main() {
@@ -120,11 +121,15 @@
 }
 
 func (s *server) spawn(ev *event) error {
-	set, names, err := settings(ev.params)
+	p, err := settings.Parse(ev.params)
 	if err != nil {
 		return fmt.Errorf("spawn: %w", err)
 	}
-	in := &instance{who: string(ev.who), out: &s.out, names: names}
+	set, err := p.Brain()
+	if err != nil {
+		return fmt.Errorf("spawn: %w", err)
+	}
+	in := &instance{who: string(ev.who), out: &s.out, names: p.Names()}
 	if in.bal, err = brain.New(set, ev.seed, in); err != nil {
 		return fmt.Errorf("spawn: %w", err)
 	}
@@ -157,7 +162,7 @@
 		}
 		in.bal.Outcome(s.now, brain.Outcome{
 			ID: brain.RequestID(ev.handle), Attempt: ev.attempt, Worker: brain.WorkerID(ev.worker),
-			Result: res, Took: time.Duration(ev.took), Settled: ev.settled, Report: in.names.report(ev),
+			Result: res, Took: time.Duration(ev.took), Settled: ev.settled, Report: ev.load(in.names),
 		})
 	case "interim":
 		in.bal.Progress(s.now, brain.Note{
@@ -171,7 +176,7 @@
 		if !ok {
 			return fmt.Errorf("unknown result %d", ev.result)
 		}
-		in.bal.Probed(s.now, brain.WorkerID(ev.worker), res, time.Duration(ev.took), in.names.report(ev))
+		in.bal.Probed(s.now, brain.WorkerID(ev.worker), res, time.Duration(ev.took), ev.load(in.names))
 	case "note_from":
 		in.bal.Peer(s.now, ev.by, ev.raw)
 	case "elapsed":
--- /dev/null
+++ b/cmd/moorstack/main.go
@@ -0,0 +1,76 @@
+// Moorstack is a broker's node: it takes jobs from clients and hands them to
+// workers. What goes where is package brain's to decide.
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+	"moorstack/internal/platform"
+)
+
+// clock is the loop's clock as the core takes it.
+type clock struct{ *net.Loop }
+
+func (c clock) At(at time.Duration, f func()) core.Timer { return c.Loop.At(at, f) }
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	if err := run(log); err != nil {
+		log.WithError(err).Fatal("the node can't go on")
+	}
+}
+
+func run(log *logrus.Logger) error {
+	cfg, err := platform.ReadConfig()
+	if err != nil {
+		return err
+	}
+	if cfg.Limits.Sockets < 16 {
+		return errors.New("limits.sockets: a node needs 16 at least")
+	}
+	// One goroutine does all the work. The collector works harder before the
+	// memory limit, beyond which the node is killed, is near.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
+
+	set, err := cfg.Settings.Brain()
+	if err != nil {
+		return err
+	}
+	loop, err := net.New()
+	if err != nil {
+		return err
+	}
+	entry := log.WithField("node", cfg.Name)
+	front := platform.New(loop, cfg, entry)
+	c, err := core.New(set, cfg.SeedNumber(), clock{loop}, front.Directory(), entry)
+	if err != nil {
+		return err
+	}
+	if err := front.Open(c); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for range signals {
+			loop.Post(func() {
+				entry.Info("asked to end")
+				front.Drain(loop.Stop)
+			})
+		}
+	}()
+	entry.WithField("listen", cfg.Listen).Info("serving")
+	return loop.Run()
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,469 @@
+// Package core hosts the decision module for a real node and knows no wire.
+//
+// Fronts hand it transactions and wait for their final answers; next hops take
+// the branches that the module starts. It keeps the clock, the limits of branches
+// and the route set, and sees to it that each transaction has one final answer and
+// each branch one end, whatever the wires do. It decides nothing itself.
+//
+// All calls come from one goroutine. Any of them may be made from within a call
+// that the core itself makes: what it leads to waits its turn.
+package core
+
+import (
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/brain"
+	"moorstack/internal/slots"
+)
+
+// Clock is where time and deadlines come from.
+type Clock interface {
+	Now() time.Duration
+	At(at time.Duration, f func()) Timer
+}
+
+// Timer is a deadline that can be stopped.
+type Timer interface{ Stop() }
+
+// Kind says what a final answer is.
+type Kind uint8
+
+// The kinds of final answer.
+const (
+	Served Kind = iota
+	Busy        // refused: trying again is harmless
+	Failed
+)
+
+// Answer is a transaction's final answer.
+type Answer struct {
+	Kind       Kind
+	Result     []byte        // of Served
+	RetryAfter time.Duration // of Busy: when to come back; 0: not told
+}
+
+// Client waits for one transaction's final answer and is told exactly once.
+type Client interface{ Answer(Answer) }
+
+// Transaction is a job that a client has handed in.
+type Transaction struct {
+	ID     string
+	Class  int
+	Tenant int
+	Left   time.Duration // until the client gives up
+	Work   time.Duration
+	Slots  float64
+	Memory float64
+	Repeat bool
+	Job    any // what the front gives its next hops to work on
+}
+
+// NextHop is a worker as a front reaches it.
+type NextHop interface {
+	// Start begins a branch. Its end is told by Core.End or Core.EndAt; if none has
+	// been told by the limit, the core ends the branch and gives it up.
+	Start(b Branch) Running
+	// Probe asks for the load and calls done once.
+	Probe(done func(brain.Result, brain.Report))
+	// CloseIdle drops what is held open to the worker and not in use.
+	CloseIdle()
+}
+
+// Branch is one attempt of a transaction at one next hop.
+type Branch struct {
+	ID    slots.ID
+	Job   any
+	Name  string        // the transaction's ID
+	Limit time.Duration // the clock time at which it is given up
+}
+
+// Running is a branch that has been started.
+type Running interface {
+	GiveUp() // nobody waits for it any more
+}
+
+// Entry is a line of the route set.
+type Entry struct {
+	Name             string
+	Zone, Kind, Cell int
+	State            brain.State
+	Size             float64
+	Since            time.Duration // on the core's clock; 0: long ago
+	Hop              NextHop       // nil for one that is removed
+}
+
+// Directory is where the route set comes from, where it must be asked for. What
+// it finds is told by Core.RouteSet.
+type Directory interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// ErrKnown is the answer to a transaction whose ID is in use.
+var ErrKnown = errors.New("a transaction with this ID is open already")
+
+type transaction struct {
+	Transaction
+	client   Client // nil once it has its final answer, or has gone
+	deadline time.Duration
+	branches []*branch // by attempt number
+	out      int
+}
+
+type branch struct {
+	id      slots.ID
+	t       *transaction
+	n       int
+	hop     *hop
+	sent    time.Duration
+	running Running
+	timer   Timer
+	ended   bool
+}
+
+type hop struct {
+	NextHop
+	id   brain.WorkerID
+	name string
+	out  int
+	gone bool
+}
+
+// Core drives one balancer.
+type Core struct {
+	bal      *brain.Balancer
+	set      brain.Settings
+	clock    Clock
+	dir      Directory
+	log      logrus.FieldLogger
+	open     map[brain.RequestID]*transaction
+	branches slots.Table[*branch]
+	hops     map[brain.WorkerID]*hop
+	ids      map[string]brain.WorkerID
+	waiting  int // transactions without their final answer
+	queue    []func()
+	busy     bool
+}
+
+// New makes a core with settings that are its own.
+func New(set brain.Settings, seed uint64, clock Clock, dir Directory, log logrus.FieldLogger) (*Core, error) {
+	c := &Core{set: set, clock: clock, dir: dir, log: log, open: map[brain.RequestID]*transaction{},
+		hops: map[brain.WorkerID]*hop{}, ids: map[string]brain.WorkerID{}}
+	var err error
+	c.bal, err = brain.New(set, seed, actions{c})
+	return c, err
+}
+
+// do runs f after all that waits already. The module must not be called from
+// within its own actions, and a front may come back from within an answer.
+func (c *Core) do(f func()) {
+	c.queue = append(c.queue, f)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		next()
+	}
+	c.queue, c.busy = nil, false
+}
+
+// Waiting is the number of transactions without their final answer.
+func (c *Core) Waiting() int { return c.waiting }
+
+// Ready says whether there is a next hop to give work to.
+func (c *Core) Ready() bool {
+	for _, h := range c.hops {
+		if !h.gone {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin takes a transaction. Unless it returns an error, the client is answered once.
+func (c *Core) Begin(t Transaction, client Client) error {
+	id := brain.RequestID(t.ID)
+	if c.open[id] != nil {
+		return ErrKnown
+	}
+	now := c.clock.Now()
+	tr := &transaction{Transaction: t, client: client, deadline: now + t.Left}
+	c.open[id] = tr
+	c.waiting++
+	c.do(func() {
+		now := c.clock.Now()
+		c.bal.Request(now, brain.Request{ID: id, Class: t.Class, Tenant: t.Tenant, Left: tr.deadline - now,
+			Work: t.Work, Slots: t.Slots, Memory: t.Memory, Repeat: t.Repeat})
+	})
+	return nil
+}
+
+// Gone says that a transaction's client has left. It is not answered any more.
+func (c *Core) Gone(id string) {
+	t := c.open[brain.RequestID(id)]
+	if t == nil || t.client == nil {
+		return
+	}
+	t.client = nil
+	c.waiting--
+	c.do(func() {
+		c.bal.Gone(c.clock.Now(), brain.RequestID(id))
+		c.forget(t)
+	})
+}
+
+// End tells the end of a branch. One that has ended already stays as it ended.
+func (c *Core) End(id slots.ID, res brain.Result, result []byte, report brain.Report) {
+	if b, ok := c.branches.Get(id); ok {
+		c.end(b, res, result, report)
+	}
+}
+
+// EndAt tells the end of the branch that a transaction has at a next hop, if it has one.
+func (c *Core) EndAt(id, name string, res brain.Result, result []byte, report brain.Report) bool {
+	if t := c.open[brain.RequestID(id)]; t != nil {
+		for _, b := range t.branches {
+			if !b.ended && b.hop.name == name {
+				c.end(b, res, result, report)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Progress tells how a branch that is out goes on.
+func (c *Core) Progress(id, name string, started bool, share float64) {
+	t := c.open[brain.RequestID(id)]
+	if t == nil {
+		return
+	}
+	for _, b := range t.branches {
+		if !b.ended && b.hop.name == name {
+			c.do(func() {
+				c.bal.Progress(c.clock.Now(), brain.Note{ID: brain.RequestID(id), Attempt: b.n, Worker: b.hop.id,
+					Started: started, Done: share})
+			})
+			return
+		}
+	}
+}
+
+func (c *Core) end(b *branch, res brain.Result, result []byte, report brain.Report) {
+	t := b.t
+	b.ended = true
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	c.branches.Remove(b.id)
+	t.out--
+	b.hop.out--
+	c.drop(b.hop)
+	if res == brain.OK {
+		c.answer(t, Answer{Kind: Served, Result: result})
+	}
+	c.do(func() {
+		now := c.clock.Now()
+		c.bal.Outcome(now, brain.Outcome{ID: brain.RequestID(t.ID), Attempt: b.n, Worker: b.hop.id, Result: res,
+			Took: now - b.sent, Settled: t.client == nil, Report: report})
+		c.forget(t)
+	})
+}
+
+// answer gives the final answer, once.
+func (c *Core) answer(t *transaction, a Answer) {
+	if client := t.client; client != nil {
+		t.client = nil
+		c.waiting--
+		client.Answer(a)
+	}
+}
+
+// forget drops a transaction that is answered and has no branch out.
+func (c *Core) forget(t *transaction) {
+	if t.client == nil && t.out == 0 {
+		delete(c.open, brain.RequestID(t.ID))
+	}
+}
+
+// RouteSet takes news of the next hops.
+func (c *Core) RouteSet(kind brain.ListKind, entries []Entry) {
+	named := map[brain.WorkerID]bool{}
+	list := make([]brain.Worker, 0, len(entries))
+	for _, e := range entries {
+		id := c.idOf(e.Name)
+		named[id] = true
+		h := c.hops[id]
+		if h == nil {
+			h = &hop{id: id, name: e.Name}
+			c.hops[id] = h
+		}
+		if e.Hop != nil {
+			h.NextHop = e.Hop
+		}
+		h.gone = e.State == brain.Removed
+		list = append(list, brain.Worker{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State,
+			Size: e.Size, Since: e.Since})
+	}
+	for id, h := range c.hops {
+		if (kind == brain.Whole || kind == brain.Cached) && !named[id] {
+			h.gone = true
+		}
+	}
+	c.do(func() {
+		c.bal.Members(c.clock.Now(), kind, list)
+		for _, h := range c.hops {
+			c.drop(h)
+		}
+	})
+}
+
+// drop forgets a next hop that has left the route set and has no branch.
+func (c *Core) drop(h *hop) {
+	if h.gone && h.out == 0 && c.hops[h.id] == h {
+		delete(c.hops, h.id)
+		delete(c.ids, h.name)
+	}
+}
+
+// idOf is the number by which the module knows a next hop. It must be the same at
+// every node and after a restart: the module takes turns by it.
+func (c *Core) idOf(name string) brain.WorkerID {
+	if id, ok := c.ids[name]; ok {
+		return id
+	}
+	sum := fnv.New32a()
+	sum.Write([]byte(name))
+	id := brain.WorkerID(sum.Sum32())
+	for c.hops[id] != nil {
+		id++
+	}
+	c.ids[name] = id
+	return id
+}
+
+// actions is what the module has its host do.
+type actions struct{ *Core }
+
+var _ brain.Actions = actions{}
+
+// Send starts a branch. One that can't be started ends as never sent.
+func (c actions) Send(id brain.RequestID, w brain.WorkerID, until time.Duration) {
+	t := c.open[id]
+	if t == nil {
+		return
+	}
+	now := c.clock.Now()
+	if until <= 0 || until > t.deadline {
+		until = t.deadline
+	}
+	h := c.hops[w]
+	known := h != nil && h.NextHop != nil
+	if h == nil {
+		h = &hop{id: w, gone: true}
+	}
+	b := &branch{t: t, n: len(t.branches), hop: h, sent: now}
+	b.id = c.branches.Add(b)
+	t.branches = append(t.branches, b)
+	t.out++
+	h.out++
+	switch {
+	case t.client == nil || !known || b.n >= max(c.set.Limits.Attempts, 1):
+		c.end(b, brain.Moot, nil, brain.NoReport)
+		return
+	case until <= now:
+		c.end(b, brain.TimedOut, nil, brain.NoReport)
+		return
+	}
+	// Hazard: a worker, or the way to it, that says nothing holds a transaction for ever.
+	b.timer = c.clock.At(until, func() { c.giveUp(b, brain.TimedOut) })
+	b.running = h.Start(Branch{ID: b.id, Job: t.Job, Name: t.ID, Limit: until})
+}
+
+func (c *Core) giveUp(b *branch, res brain.Result) {
+	if b.ended {
+		return
+	}
+	if b.running != nil {
+		b.running.GiveUp()
+	}
+	c.end(b, res, nil, brain.NoReport)
+}
+
+// Refuse gives a busy answer.
+func (c actions) Refuse(id brain.RequestID, retryAfter time.Duration) {
+	c.final(id, Answer{Kind: Busy, RetryAfter: retryAfter})
+}
+
+// Fail gives a failure.
+func (c actions) Fail(id brain.RequestID) { c.final(id, Answer{Kind: Failed}) }
+
+func (c *Core) final(id brain.RequestID, a Answer) {
+	if t := c.open[id]; t != nil {
+		c.answer(t, a)
+		c.forget(t)
+	}
+}
+
+// Cancel gives a branch up.
+func (c actions) Cancel(id brain.RequestID, attempt int) {
+	if t := c.open[id]; t != nil && attempt >= 0 && attempt < len(t.branches) {
+		c.giveUp(t.branches[attempt], brain.Cancelled)
+	}
+}
+
+// Probe asks a next hop for its load.
+func (c actions) Probe(w brain.WorkerID) {
+	h := c.hops[w]
+	if h == nil || h.NextHop == nil {
+		return
+	}
+	began := c.clock.Now()
+	h.Probe(func(res brain.Result, r brain.Report) {
+		c.do(func() {
+			now := c.clock.Now()
+			c.bal.Probed(now, w, res, now-began, r)
+		})
+	})
+}
+
+// Watch asks the directory for changes.
+func (c actions) Watch(on bool) {
+	if c.dir != nil {
+		c.do(func() { c.dir.Watch(on) })
+	}
+}
+
+// Fetch asks the directory for the whole route set.
+func (c actions) Fetch() {
+	if c.dir != nil {
+		c.do(c.dir.Fetch)
+	}
+}
+
+// After sets a timer of the module's.
+func (c actions) After(d time.Duration, token uint64) {
+	c.clock.At(c.clock.Now()+d, func() {
+		c.do(func() { c.bal.Timer(c.clock.Now(), token) })
+	})
+}
+
+// Tell has no way to go: nodes share nothing.
+func (c actions) Tell(int, []byte) {}
+
+// CloseIdle closes a next hop's idle connections.
+func (c actions) CloseIdle(w brain.WorkerID) {
+	if h := c.hops[w]; h != nil && h.NextHop != nil {
+		h.NextHop.CloseIdle()
+	}
+}
+
+// Log writes a line for the people on call.
+func (c actions) Log(text string) { c.log.Info(text) }
--- /dev/null
+++ b/internal/faktory/doc.go
@@ -0,0 +1,2 @@
+// Package faktory will be the second front. It holds nothing yet.
+package faktory
--- /dev/null
+++ b/internal/net/conn.go
@@ -0,0 +1,250 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"moorstack/internal/slots"
+)
+
+// Handler is told what happens on a connection. None of it is called after Close.
+type Handler interface {
+	Up(c *Conn)               // a dialled connection has come up
+	Data(c *Conn)             // there is more in In
+	Ended(c *Conn, err error) // the peer, or the network, has ended it; it is closed already
+}
+
+// most is how much unread input a connection may hold: a head, a body of
+// 64 KiB in small chunks, and some. Beyond it nothing is read until some is used.
+const most = 1 << 18
+
+// roomy is the size of buffer that an idle connection may keep.
+const roomy = 16 << 10
+
+// lingering is how long a peer may take to close after us.
+const lingering = time.Second
+
+// Conn is a connection with one buffer, which grows as it needs and is compacted
+// in place: unread input first, then output that the kernel has not taken yet.
+// Nothing is read while output waits, so that the two never cross, and a peer
+// that doesn't read can't make us hold more than a turn's output.
+type Conn struct {
+	H    Handler
+	loop *Loop
+	from *Listener
+	fd   int
+	id   slots.ID
+	buf  []byte
+	mid  int // input is buf[:mid], output is buf[mid:]
+
+	connecting, closed, closing bool
+	events                      uint32
+	lost                        int // output that the kernel had not taken at the end
+}
+
+func (l *Loop) adopt(fd int, connecting bool) (*Conn, error) {
+	c := &Conn{loop: l, fd: fd, connecting: connecting}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c.events = c.wanted()
+	var err error
+	c.id, err = l.watch(fd, c.events, c)
+	return c, err
+}
+
+// Dial begins a connection. The handler is told when it is up; an error here
+// means that it never will be.
+func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
+	addr, err := sockaddr(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	if err = unix.Connect(fd, addr); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd)
+		return nil, fmt.Errorf("connecting to %s: %w", address, err)
+	}
+	c, err := l.adopt(fd, true)
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	c.H = h
+	return c, nil
+}
+
+// In is the unread input; it is good until the next Write, Use or return to the loop.
+func (c *Conn) In() []byte { return c.buf[:c.mid] }
+
+// Use drops the first n bytes of the input.
+func (c *Conn) Use(n int) {
+	c.buf = c.buf[:copy(c.buf, c.buf[n:])]
+	c.mid -= n
+	if len(c.buf) == 0 && cap(c.buf) > roomy {
+		c.buf = nil // hundreds of idle connections must not keep the room of their largest message
+	}
+	c.update()
+}
+
+// Unsent is how many bytes the kernel has not taken yet.
+func (c *Conn) Unsent() int {
+	if c.closed {
+		return c.lost
+	}
+	return len(c.buf) - c.mid
+}
+
+// Connecting says that the connection is not up yet.
+func (c *Conn) Connecting() bool { return c.connecting }
+
+// Closed says that the connection has ended, from whichever side.
+func (c *Conn) Closed() bool { return c.closed }
+
+// Write sends p, now or as the peer takes it.
+func (c *Conn) Write(p []byte) {
+	if c.closed || c.closing {
+		return
+	}
+	if c.Unsent() == 0 && !c.connecting {
+		n, err := unix.Write(c.fd, p)
+		if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
+			n = 0 // the loop will report the break, with these bytes unsent
+		}
+		p = p[max(n, 0):]
+	}
+	c.buf = append(c.buf, p...)
+	c.update()
+}
+
+// Stale looks whether a connection that should be idle has ended, or holds
+// something unasked for, without waiting for the loop to tell.
+func (c *Conn) Stale() bool {
+	if c.closed || c.mid > 0 {
+		return true
+	}
+	var one [1]byte
+	n, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0 || !errors.Is(err, unix.EAGAIN)
+}
+
+// Close ends the connection at once, and drops output that waits. The input stays
+// readable.
+func (c *Conn) Close() {
+	if c.closed {
+		return
+	}
+	c.lost, c.closed = c.Unsent(), true
+	c.loop.sources.Remove(c.id)
+	unix.Close(c.fd) // leaves the epoll set, too
+	if ln := c.from; ln != nil {
+		ln.open--
+		ln.pause(false)
+	}
+}
+
+// Finish ends the connection once its output is sent: writing first, so that
+// input which has not been read does not make the kernel drop the answer.
+func (c *Conn) Finish() {
+	c.closing = true
+	c.Use(c.mid)
+	if c.Unsent() == 0 && !c.closed {
+		c.linger()
+	}
+}
+
+// linger half-closes and reads on until the peer has closed too, for a second at most.
+func (c *Conn) linger() {
+	_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	c.loop.After(lingering, c.Close)
+}
+
+func (c *Conn) wanted() uint32 {
+	switch {
+	case c.connecting || c.Unsent() > 0:
+		return unix.EPOLLOUT
+	case c.mid >= most:
+		return 0
+	}
+	return unix.EPOLLIN | unix.EPOLLRDHUP
+}
+
+func (c *Conn) update() {
+	if w := c.wanted(); !c.closed && w != c.events {
+		c.events = w
+		_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, event(w, c.id))
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if c.connecting {
+		if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || code != 0 {
+			c.end(unix.Errno(code))
+			return
+		}
+		c.connecting = false
+		c.update()
+		if c.H.Up(c); c.closed {
+			return
+		}
+	}
+	if c.Unsent() > 0 {
+		if c.flush(); c.closed || c.Unsent() > 0 {
+			return
+		}
+	}
+	switch {
+	case events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0:
+		c.read()
+	case events&(unix.EPOLLERR|unix.EPOLLHUP) != 0:
+		c.end(io.ErrUnexpectedEOF)
+	}
+}
+
+func (c *Conn) flush() {
+	n, err := unix.Write(c.fd, c.buf[c.mid:])
+	if err != nil {
+		if !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
+			c.end(err)
+		}
+		return
+	}
+	c.buf = c.buf[:c.mid+copy(c.buf[c.mid:], c.buf[c.mid+n:])]
+	c.update()
+	if c.closing && c.Unsent() == 0 {
+		c.linger()
+	}
+}
+
+func (c *Conn) read() {
+	if cap(c.buf)-c.mid < 1024 {
+		c.buf = append(make([]byte, 0, max(2048, 2*cap(c.buf))), c.buf...)
+	}
+	n, err := unix.Read(c.fd, c.buf[c.mid:min(cap(c.buf), most+1024)])
+	switch {
+	case err != nil:
+		if !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
+			c.end(err)
+		}
+	case n == 0:
+		c.end(io.EOF)
+	case c.closing: // what still comes is not wanted
+	default:
+		c.mid += n
+		c.buf = c.buf[:c.mid]
+		c.update()
+		c.H.Data(c)
+	}
+}
+
+// end is the end from the other side.
+func (c *Conn) end(err error) {
+	if c.Close(); !c.closing {
+		c.H.Ended(c, err)
+	}
+}
--- /dev/null
+++ b/internal/net/loop.go
@@ -0,0 +1,281 @@
+// Package net is the project's network code: one epoll loop that owns every
+// socket and every deadline of the program, connections with one buffer each,
+// and an HTTP/1.1 parser that takes its input in any pieces.
+//
+// Everything runs on the goroutine that calls Loop.Run, but for Loop.Post.
+package net
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"moorstack/internal/slots"
+)
+
+// Timer is a deadline that hangs in the loop's heap.
+type Timer struct {
+	loop  *Loop
+	at    time.Duration
+	index int // in the heap; -1 when it has run or was stopped
+	f     func()
+}
+
+type deadlines []*Timer
+
+func (d deadlines) Len() int           { return len(d) }
+func (d deadlines) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d deadlines) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].index, d[j].index = i, j
+}
+func (d *deadlines) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*d)
+	*d = append(*d, t)
+}
+func (d *deadlines) Pop() any {
+	old := *d
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*d = old[:len(old)-1]
+	t.index = -1
+	return t
+}
+
+// source is what epoll reports on: a connection, a listener or the wake-up.
+type source interface{ ready(events uint32) }
+
+// Loop is the event loop.
+type Loop struct {
+	ep, wake int
+	sources  slots.Table[source]
+	timers   deadlines
+	started  time.Time
+	origin   time.Duration
+	stopped  bool
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New makes a loop. Its clock counts from the Unix epoch, for start times are
+// given so, and goes on by the monotonic clock, so that it never goes back.
+func New() (*Loop, error) {
+	now := time.Now()
+	l := &Loop{started: now, origin: time.Duration(now.UnixNano())}
+	var err error
+	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	if l.wake, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	_, err = l.watch(l.wake, unix.EPOLLIN, waker{l})
+	return l, err
+}
+
+// Now is the loop's clock.
+func (l *Loop) Now() time.Duration { return l.origin + time.Since(l.started) }
+
+// At runs f at the given time, never before At has returned.
+func (l *Loop) At(at time.Duration, f func()) *Timer {
+	t := &Timer{loop: l, at: at, f: f}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// After runs f after d.
+func (l *Loop) After(d time.Duration, f func()) *Timer { return l.At(l.Now()+d, f) }
+
+// Stop takes the timer out. One that has run, or is nil, is left alone.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+// Post runs f on the loop. It may be called from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, f)
+	l.mu.Unlock()
+	// It can only fail when the counter is full, and then the loop wakes anyway.
+	_, _ = unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+}
+
+type waker struct{ l *Loop }
+
+func (w waker) ready(uint32) {
+	var count [8]byte
+	_, _ = unix.Read(w.l.wake, count[:])
+	w.l.mu.Lock()
+	fs := w.l.posted
+	w.l.posted = nil
+	w.l.mu.Unlock()
+	for _, f := range fs {
+		f()
+	}
+}
+
+// Stop ends Run.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Run serves until Stop.
+func (l *Loop) Run() error {
+	events := make([]unix.EpollEvent, 128)
+	for !l.stopped {
+		n, err := unix.EpollWait(l.ep, events, l.wait())
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		for i := range max(n, 0) {
+			// An earlier event of this batch may have closed what this one is about, and
+			// its slot may be in use again: then the generation misses.
+			id := slots.Of(uint32(events[i].Fd), uint32(events[i].Pad))
+			if s, ok := l.sources.Get(id); ok {
+				s.ready(events[i].Events)
+			}
+		}
+		for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now && !l.stopped; {
+			heap.Pop(&l.timers).(*Timer).f()
+		}
+	}
+	return nil
+}
+
+// wait is how long epoll may sleep, in milliseconds, rounded up so as not to spin.
+func (l *Loop) wait() int {
+	if len(l.timers) == 0 {
+		return -1
+	}
+	left := l.timers[0].at - l.Now()
+	return int(min(max(left+time.Millisecond-1, 0)/time.Millisecond, 60_000))
+}
+
+func event(events uint32, id slots.ID) *unix.EpollEvent {
+	return &unix.EpollEvent{Events: events, Fd: int32(id.Index()), Pad: int32(id.Generation())}
+}
+
+func (l *Loop) watch(fd int, events uint32, s source) (slots.ID, error) {
+	id := l.sources.Add(s)
+	if err := unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, event(events, id)); err != nil {
+		l.sources.Remove(id)
+		return 0, fmt.Errorf("epoll: %w", err)
+	}
+	return id, nil
+}
+
+// Listener accepts connections.
+type Listener struct {
+	loop   *Loop
+	fd     int
+	id     slots.ID
+	most   int // connections held at a time
+	open   int
+	paused bool
+	accept func(*Conn)
+}
+
+// Listen accepts on the address, holding at most so many connections at a time:
+// further ones wait with the kernel until one has ended.
+func (l *Loop) Listen(address string, most int, accept func(*Conn)) (*Listener, error) {
+	addr, err := sockaddr(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	// A restart must not wait for the connections of the process before it.
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, addr)
+	}
+	if err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	ln := &Listener{loop: l, fd: fd, most: most, accept: accept}
+	if err == nil {
+		ln.id, err = l.watch(fd, unix.EPOLLIN, ln)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listening on %s: %w", address, err)
+	}
+	return ln, nil
+}
+
+// Open is the number of connections held; Crowded says that few more can be.
+func (ln *Listener) Open() int     { return ln.open }
+func (ln *Listener) Crowded() bool { return ln.open > ln.most*3/4 }
+
+func (ln *Listener) ready(uint32) {
+	for range 64 { // then others have their turn
+		if ln.open >= ln.most {
+			ln.pause(true)
+			return
+		}
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+		case errors.Is(err, unix.EAGAIN):
+			return
+		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS),
+			errors.Is(err, unix.ENOMEM):
+			// Out of descriptors: the level-triggered event would spin the loop. The
+			// connection waits with the kernel; look again when some may be free.
+			ln.pause(true)
+			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
+			return
+		default:
+			continue // that connection broke before it was taken
+		}
+		c, err := ln.loop.adopt(fd, false)
+		if err != nil {
+			unix.Close(fd)
+			continue
+		}
+		ln.open++
+		c.from = ln
+		ln.accept(c)
+	}
+}
+
+func (ln *Listener) pause(on bool) {
+	if ln.paused == on || ln.fd < 0 {
+		return
+	}
+	ln.paused = on
+	events := uint32(unix.EPOLLIN)
+	if on {
+		events = 0
+	}
+	_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, event(events, ln.id))
+}
+
+// Close stops listening; connections taken stay.
+func (ln *Listener) Close() {
+	if ln.fd >= 0 {
+		ln.loop.sources.Remove(ln.id)
+		unix.Close(ln.fd)
+		ln.fd = -1
+	}
+}
+
+func sockaddr(address string) (unix.Sockaddr, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("address %q: %w", address, err)
+	}
+	if !ap.Addr().Unmap().Is4() {
+		return nil, fmt.Errorf("address %q: only IPv4 is spoken", address)
+	}
+	return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().Unmap().As4()}, nil
+}
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,163 @@
+// Package platform is the front for the platform's protocol: clients' requests,
+// the next hops' call-backs, branches and probes, and discovery, all over HTTP/1.1.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/core"
+	"moorstack/internal/settings"
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string            `json:"name"`
+	Listen    string            `json:"listen"`
+	Discovery string            `json:"discovery"`
+	Seed      string            `json:"seed"`
+	Limits    Limits            `json:"limits"`
+	Known     routeSet          `json:"known"`
+	Settings  settings.Settings `json:"settings"`
+}
+
+// Limits are what a node may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// ReadConfig reads the file that BALANCER_CONFIG names. The other variables, where
+// they are set, come before what the file says.
+func ReadConfig() (*Config, error) {
+	path := os.Getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("BALANCER_CONFIG is not set: it names the node's configuration")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	c := &Config{Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fmt.Errorf("reading %s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen,
+		"BALANCER_DISCOVERY": &c.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*to = v
+		}
+	}
+	return c, nil
+}
+
+// SeedNumber is the seed as the module takes it.
+func (c *Config) SeedNumber() uint64 {
+	if n, err := strconv.ParseUint(c.Seed, 16, 64); err == nil {
+		return n
+	}
+	return uint64(time.Now().UnixNano()) // a node without a seed is as good with any
+}
+
+// routeSet is discovery's list, or a change of it.
+type routeSet struct {
+	Generation int64  `json:"generation"`
+	Reset      bool   `json:"reset"`
+	Instances  []line `json:"instances"`
+}
+
+type line struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"startedAtMs"`
+}
+
+var lifecycles = map[string]brain.State{"SERVING": brain.Ready, "DRAINING": brain.Draining}
+
+// names finds the numbers of what the wire names.
+type names struct {
+	classes, tenants, zones, kinds map[string]int
+	report                         settings.ReportNames
+}
+
+func namesOf(s *settings.Settings) names {
+	n := names{classes: map[string]int{}, tenants: map[string]int{}, zones: map[string]int{},
+		kinds: map[string]int{}, report: s.Names()}
+	for i, c := range s.Classes {
+		n.classes[c.Name] = i
+	}
+	for i, t := range s.Tenants {
+		n.tenants[t.Name] = i
+	}
+	for i, z := range s.Zones {
+		n.zones[z] = i
+	}
+	for i, k := range s.Kinds {
+		n.kinds[k] = i
+	}
+	return n
+}
+
+func indexOf(m map[string]int, name string) int {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// tell hands a list to the core, with the next hops that its lines name.
+func (f *Front) tell(kind brain.ListKind, set *routeSet) {
+	entries := make([]core.Entry, 0, len(set.Instances))
+	named := map[string]bool{}
+	for _, l := range set.Instances {
+		e := core.Entry{Name: l.ID, Zone: indexOf(f.names.zones, l.Zone), Kind: indexOf(f.names.kinds, l.Kind),
+			Cell: l.Cell, State: lifecycles[l.Lifecycle], Size: l.Weight,
+			Since: time.Duration(l.StartedMS) * time.Millisecond}
+		if e.State == brain.Removed {
+			f.remove(l.ID)
+		} else {
+			named[l.ID] = true
+			e.Hop = f.hopAt(l.ID, l.Address)
+		}
+		entries = append(entries, e)
+	}
+	if kind != brain.Changes {
+		for id := range f.hops {
+			if !named[id] {
+				f.remove(id)
+			}
+		}
+	}
+	f.core.RouteSet(kind, entries)
+}
+
+// hopAt is the next hop with the id. Its address may have changed.
+func (f *Front) hopAt(id, address string) *nextHop {
+	h := f.hops[id]
+	if h == nil {
+		h = &nextHop{front: f, name: id}
+		f.hops[id] = h
+	}
+	if h.address != address {
+		h.address = address
+		h.CloseIdle()
+	}
+	return h
+}
+
+func (f *Front) remove(id string) {
+	if h := f.hops[id]; h != nil {
+		delete(f.hops, id)
+		h.CloseIdle()
+	}
+}
--- /dev/null
+++ b/internal/platform/discovery.go
@@ -0,0 +1,175 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/net"
+)
+
+const (
+	members = "/catalog/members"
+
+	// silence is when a watch is taken for dead: a blank line is due every 2 s, and a
+	// machine that vanished leaves its connections open and says nothing.
+	silence = 5 * time.Second
+	// longest is the longest line of a watch that is taken in.
+	longest = 4 << 20
+)
+
+// directory asks discovery for the route set.
+type directory struct {
+	front      *Front
+	generation int64
+	watch      *call
+}
+
+// Watch begins to watch, or stops. One that is under way is left for the new one.
+func (d *directory) Watch(on bool) {
+	if d.watch != nil {
+		d.watch.close()
+		d.watch = nil
+	}
+	if on {
+		d.watch = d.ask(fmt.Sprintf("%s?stream=1&index=%d", members, d.generation))
+	}
+}
+
+// Fetch asks for the whole list once.
+func (d *directory) Fetch() { d.ask(members) }
+
+// call is a call of discovery: a list, or a watch's lines.
+type call struct {
+	dir   *directory
+	conn  *net.Conn
+	in    net.Parser
+	line  []byte // of which the end has not come yet
+	timer *net.Timer
+	ended bool
+}
+
+var _ net.Handler = (*call)(nil)
+
+func (d *directory) ask(target string) *call {
+	c := &call{dir: d, in: net.Parser{Response: true, Stream: true}}
+	conn, err := d.front.loop.Dial(d.front.cfg.Discovery, c)
+	if err != nil {
+		d.front.loop.After(0, func() { c.fail(err) }) // not from within the core's call
+		return c
+	}
+	c.conn = conn
+	c.conn.Write(net.AppendRequest(nil, "GET", target, d.front.cfg.Discovery, "", nil))
+	c.alive()
+	return c
+}
+
+// alive puts off the time at which the call is taken for dead.
+func (c *call) alive() {
+	c.timer.Stop()
+	c.timer = c.dir.front.loop.After(silence, func() { c.fail(errors.New("discovery is silent")) })
+}
+
+func (c *call) Up(*net.Conn) {}
+
+// Data takes in what has come.
+func (c *call) Data(*net.Conn) {
+	c.alive()
+	whole, err := c.in.Feed(c.conn.In())
+	if err == nil && c.in.HeadDone() && c.in.Status != 200 {
+		err = fmt.Errorf("discovery answers %d", c.in.Status)
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if c.in.HeadDone() {
+		body, n := c.in.Take(c.conn.In())
+		c.line = append(c.line, body...)
+		c.conn.Use(n)
+	}
+	if len(c.line) > longest {
+		c.fail(errors.New("discovery sends a line without end"))
+		return
+	}
+	if c.lines(whole); whole {
+		c.over()
+	}
+}
+
+// lines takes whole lines; the last one of a body may lack its end.
+func (c *call) lines(whole bool) {
+	rest := c.line
+	for !c.ended {
+		line, after, ok := bytes.Cut(rest, []byte("\n"))
+		if !ok {
+			break
+		}
+		c.news(line)
+		rest = after
+	}
+	if whole && !c.ended {
+		c.news(rest)
+		rest = nil
+	}
+	c.line = append(c.line[:0], rest...)
+}
+
+func (c *call) news(text []byte) {
+	if text = bytes.TrimSpace(text); len(text) == 0 {
+		return // the line that says that nothing has changed
+	}
+	var set routeSet
+	if err := json.Unmarshal(text, &set); err != nil {
+		c.fail(fmt.Errorf("discovery's list: %w", err))
+		return
+	}
+	kind := brain.Changes
+	if set.Reset {
+		kind = brain.Whole
+	}
+	c.dir.generation = set.Generation
+	c.dir.front.tell(kind, &set)
+}
+
+// over is the end of an answer: a list's right end, a watch's failure.
+func (c *call) over() {
+	if c == c.dir.watch {
+		c.fail(errors.New("the watch has ended"))
+		return
+	}
+	c.close()
+}
+
+func (c *call) Ended(_ *net.Conn, err error) {
+	if !c.ended && c.in.Ended() {
+		c.lines(true)
+		c.over()
+		return
+	}
+	c.fail(err)
+}
+
+// fail tells the core that a call has failed, once.
+func (c *call) fail(err error) {
+	if c.ended {
+		return
+	}
+	c.close()
+	if c.dir.watch == c {
+		c.dir.watch = nil
+	}
+	c.dir.front.log.WithError(err).Warn("a call of discovery has failed")
+	c.dir.front.core.RouteSet(brain.Failed, nil)
+}
+
+func (c *call) close() {
+	c.ended = true
+	c.timer.Stop()
+	if c.conn != nil {
+		c.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,360 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/brain"
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+)
+
+const (
+	ready    = "/_health"
+	callBack = "/v1/job-events"
+
+	// slowest is how long a client may take over sending one request.
+	slowest = 20 * time.Second
+	// notice is how long after SIGTERM new connections still come; see PROTOCOL.
+	notice = 500 * time.Millisecond
+)
+
+// Front is the platform's front.
+type Front struct {
+	loop     *net.Loop
+	core     *core.Core
+	cfg      *Config
+	names    names
+	log      logrus.FieldLogger
+	listener *net.Listener
+	hops     map[string]*nextHop
+	clients  map[*client]struct{}
+	draining bool
+	closing  bool // idle clients are closed
+	dir      *directory
+}
+
+// New makes the front. Open begins its service, once it has its core.
+func New(loop *net.Loop, cfg *Config, log logrus.FieldLogger) *Front {
+	f := &Front{loop: loop, cfg: cfg, names: namesOf(&cfg.Settings), log: log, hops: map[string]*nextHop{},
+		clients: map[*client]struct{}{}}
+	f.dir = &directory{front: f, generation: cfg.Known.Generation}
+	return f
+}
+
+// Directory is where the core asks for the route set.
+func (f *Front) Directory() core.Directory { return f.dir }
+
+// Open gives the core what is known of the next hops and begins to listen.
+func (f *Front) Open(c *core.Core) error {
+	f.core = c
+	f.tell(brain.Cached, &f.cfg.Known)
+	// A quarter of the descriptors is kept for branches, probes and discovery.
+	var err error
+	f.listener, err = f.loop.Listen(f.cfg.Listen, f.cfg.Limits.Sockets*3/4, f.accept)
+	return err
+}
+
+// Drain begins the end: what comes is still taken for a while and all that was
+// taken is finished; then done is called.
+func (f *Front) Drain(done func()) {
+	if f.draining {
+		return
+	}
+	f.draining = true
+	f.loop.After(notice, func() {
+		f.closing = true
+		for c := range f.clients {
+			c.closeIfIdle()
+		}
+		f.finish(done)
+	})
+}
+
+// finish waits for the last answers to be written. The listener stays open until
+// then: next hops call back on it.
+func (f *Front) finish(done func()) {
+	busy := f.core.Waiting() > 0
+	for c := range f.clients {
+		busy = busy || c.waits || c.conn.Unsent() > 0
+	}
+	if busy {
+		f.loop.After(10*time.Millisecond, func() { f.finish(done) })
+		return
+	}
+	f.listener.Close()
+	done()
+}
+
+func (f *Front) accept(c *net.Conn) {
+	cl := &client{front: f, conn: c}
+	f.clients[cl] = struct{}{}
+	c.H = cl
+}
+
+// client is a connection that was accepted: a client's, or a next hop's call-back.
+type client struct {
+	front *Front
+	conn  *net.Conn
+	in    net.Parser
+	timer *net.Timer // for a request that comes slowly
+	id    string     // of the transaction it waits for
+	waits bool
+	last  bool // the connection closes after this answer
+	asked bool // a 100 has been sent for the request being read
+}
+
+var _ net.Handler = (*client)(nil)
+var _ core.Client = (*client)(nil)
+
+func (c *client) Up(*net.Conn) {}
+
+// Data reads requests one at a time: a pipelined one waits until the one before
+// it has its answer.
+func (c *client) Data(*net.Conn) {
+	for !c.waits && !c.last && !c.conn.Closed() && len(c.conn.In()) > 0 {
+		whole, err := c.in.Feed(c.conn.In())
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+		if !whole {
+			c.partial()
+			return
+		}
+		c.timer.Stop()
+		c.timer = nil
+		c.last = c.in.Close || c.front.draining || c.front.listener.Crowded()
+		m, body := c.in.Message, append([]byte(nil), c.in.Body(c.conn.In())...)
+		c.conn.Use(c.in.Size())
+		c.in.Next()
+		c.asked = false
+		c.handle(&m, body)
+	}
+}
+
+// partial minds a request that has not come whole.
+func (c *client) partial() {
+	if c.timer == nil {
+		c.timer = c.front.loop.After(slowest, func() {
+			c.conn.Close()
+			c.gone()
+		})
+	}
+	if c.in.HeadDone() && c.in.Expects && !c.asked {
+		c.asked = true
+		c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// refuse ends a connection whose input can't be read on.
+func (c *client) refuse(err error) {
+	status := 400
+	if b, ok := err.(*net.BadMessage); ok {
+		status = b.Status
+	}
+	c.last = true
+	c.respond(status, "", []byte(err.Error()+"\n"))
+}
+
+func (c *client) respond(status int, extra string, body []byte) {
+	c.conn.Write(net.AppendResponse(nil, status, c.last, extra, body))
+	if c.last {
+		c.conn.Finish()
+		c.gone()
+	}
+}
+
+func (c *client) handle(m *net.Message, body []byte) {
+	path, _, _ := strings.Cut(m.Target, "?")
+	switch {
+	case m.Method == "POST" && path == callBack:
+		c.front.event(body)
+		// Whatever it names, it has been heard: else it would be repeated.
+		c.respond(204, "", nil)
+	case path == ready && m.Method == "GET":
+		if c.front.draining || !c.front.core.Ready() {
+			c.respond(503, "Retry-After: 1\r\n", nil)
+		} else {
+			c.respond(200, "", nil)
+		}
+	case m.Method == "POST":
+		c.begin(m, body)
+	default:
+		c.respond(404, "", nil)
+	}
+}
+
+// job is a client's request as it is passed on.
+type job struct {
+	target, key string
+	body        []byte
+}
+
+func (c *client) begin(m *net.Message, body []byte) {
+	t, err := c.front.transaction(m, body)
+	if err == nil {
+		c.id, c.waits = t.ID, true
+		if err = c.front.core.Begin(t, c); err == nil {
+			return
+		}
+		c.waits = false
+	}
+	status := 400
+	if err == core.ErrKnown {
+		status = 409
+	}
+	c.respond(status, "", []byte(err.Error()+"\n"))
+}
+
+// transaction reads what the headers say of a job.
+func (f *Front) transaction(m *net.Message, body []byte) (t core.Transaction, err error) {
+	j := &job{target: m.Target, key: m.Get("Idempotency-Key"), body: body}
+	t.ID, t.Job = m.Get("X-Request-ID"), j
+	if t.ID == "" || len(t.ID) > 200 {
+		return t, fmt.Errorf("X-Request-ID is missing or too long")
+	}
+	if t.Class = indexOf(f.names.classes, m.Get("X-Priority-Class")); t.Class < 0 {
+		return t, fmt.Errorf("X-Priority-Class names no class")
+	}
+	if tenant := m.Get("X-Tenant-Id"); tenant != "" {
+		if t.Tenant = indexOf(f.names.tenants, tenant); t.Tenant < 0 {
+			return t, fmt.Errorf("X-Tenant-Id names no tenant")
+		}
+	}
+	if t.Left, err = timeout(m.Get("X-Timeout")); err != nil {
+		return t, err
+	}
+	if cost := m.Get("X-Cost"); cost != "" {
+		us, err := strconv.ParseFloat(cost, 64)
+		if err != nil || !(us >= 0 && us < 1e12) {
+			return t, fmt.Errorf("X-Cost is not a time in microseconds")
+		}
+		t.Work = time.Duration(us * float64(time.Microsecond))
+	}
+	t.Repeat = m.Get("X-Retried") == "1"
+	for attr := range strings.SplitSeq(m.Get("X-Attrs"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(attr), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue // figures are hints, and there may be others than ours
+		}
+		switch name {
+		case "slots", "cores_needed":
+			t.Slots = v
+		case "memory", "ram_units":
+			t.Memory = v
+		}
+	}
+	return t, nil
+}
+
+// timeout reads a number and its unit.
+func timeout(s string) (time.Duration, error) {
+	unit := time.Duration(0)
+	switch {
+	case strings.HasSuffix(s, "m"):
+		unit = time.Millisecond
+	case strings.HasSuffix(s, "u"):
+		unit = time.Microsecond
+	}
+	if unit > 0 {
+		n, err := strconv.ParseFloat(s[:len(s)-1], 64)
+		if d := n * float64(unit); err == nil && d >= 1 && d <= float64(24*time.Hour) {
+			return time.Duration(d), nil
+		}
+	}
+	return 0, fmt.Errorf("X-Timeout is not a time")
+}
+
+// Answer writes the transaction's final answer.
+func (c *client) Answer(a core.Answer) {
+	c.waits = false
+	if c.front.draining {
+		c.last = true
+	}
+	switch a.Kind {
+	case core.Served:
+		c.respond(200, "", a.Result)
+	case core.Busy:
+		extra := ""
+		if a.RetryAfter > 0 {
+			extra = fmt.Sprintf("Retry-After: %.3f\r\n", a.RetryAfter.Seconds())
+		}
+		c.respond(503, extra, nil)
+	default:
+		c.respond(502, "", nil)
+	}
+	// The next request may be waiting in the buffer. It must not begin within this call.
+	c.front.loop.After(0, func() {
+		if c.front.closing {
+			c.closeIfIdle()
+		}
+		c.Data(c.conn)
+	})
+}
+
+// closeIfIdle closes a connection that stands between two requests.
+func (c *client) closeIfIdle() {
+	if !c.waits && c.conn.Unsent() == 0 && len(c.conn.In()) == 0 && !c.conn.Closed() {
+		c.conn.Finish()
+		c.gone()
+	}
+}
+
+// Ended tells the core that a client has gone before its answer.
+func (c *client) Ended(*net.Conn, error) {
+	if c.gone(); c.waits {
+		c.waits = false
+		c.front.core.Gone(c.id)
+	}
+}
+
+func (c *client) gone() {
+	c.timer.Stop()
+	delete(c.front.clients, c)
+}
+
+// event takes a call-back. It may come before the 202, again, or late: only the
+// branch that is out at the next hop it comes from is ended by it, once.
+func (f *Front) event(body []byte) {
+	var e struct {
+		ID     string             `json:"id"`
+		From   string             `json:"from"`
+		State  string             `json:"state"`
+		Result *string            `json:"result"`
+		Share  float64            `json:"share"`
+		Load   map[string]float64 `json:"load"`
+	}
+	if err := json.Unmarshal(body, &e); err != nil {
+		f.log.WithError(err).Warn("a call-back that can't be read")
+		return
+	}
+	report := brain.NoReport
+	for name, v := range e.Load {
+		f.names.report.Set(&report, name, v)
+	}
+	switch e.State {
+	case "done":
+		if e.Result == nil {
+			f.log.WithField("from", e.From).Warn("a call-back that is done and has no result")
+			f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
+			return
+		}
+		f.core.EndAt(e.ID, e.From, brain.OK, []byte(*e.Result), report)
+	case "failed":
+		f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
+	case "returned":
+		f.core.EndAt(e.ID, e.From, brain.Full, nil, report)
+	case "lost":
+		f.core.EndAt(e.ID, e.From, brain.Reset, nil, report)
+	case "started", "running":
+		f.core.Progress(e.ID, e.From, e.State == "started", e.Share)
+	}
+}
--- /dev/null
+++ b/internal/platform/nexthop.go
@@ -0,0 +1,292 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+)
+
+// probing is how long a probe may take; what comes later tells of a load long past.
+const probing = 300 * time.Millisecond
+
+// idleMost is how many idle connections are kept to one next hop.
+const idleMost = 16
+
+// nextHop is a trip worker: its address here, and the idle connections to it.
+type nextHop struct {
+	front   *Front
+	name    string
+	address string
+	idle    []*exchange // the one used last at the end
+}
+
+var _ core.NextHop = (*nextHop)(nil)
+
+// exchange is a request on a connection of its own, and its answer. A connection
+// carries one at a time.
+type exchange struct {
+	hop     *nextHop
+	conn    *net.Conn
+	in      net.Parser
+	timer   *net.Timer
+	address string
+	busy    bool
+	// done is told once: the answer, or nil and whether the request never went out whole.
+	done func(m *net.Message, body []byte, unsent bool)
+}
+
+var _ net.Handler = (*exchange)(nil)
+
+// send writes a request on an idle connection or a new one.
+func (h *nextHop) send(request []byte, done func(*net.Message, []byte, bool)) *exchange {
+	var x *exchange
+	for len(h.idle) > 0 && x == nil {
+		last := len(h.idle) - 1
+		x, h.idle = h.idle[last], h.idle[:last]
+		x.timer.Stop()
+		// Hazard: the next hop has closed it meanwhile; what is written then ends as a
+		// reset, though it never ran.
+		if x.conn.Stale() {
+			x.conn.Close()
+			x = nil
+		}
+	}
+	if x == nil {
+		x = &exchange{hop: h, address: h.address, in: net.Parser{Response: true}}
+		conn, err := h.front.loop.Dial(h.address, x)
+		if err != nil {
+			h.front.log.WithError(err).Warn("a next hop can't be dialled")
+			done(nil, nil, true)
+			return nil
+		}
+		x.conn = conn
+		x.timer = h.front.loop.After(h.front.connectTimeout(), func() { x.fail() })
+	}
+	x.busy, x.done = true, done
+	x.conn.Write(request)
+	return x
+}
+
+func (f *Front) connectTimeout() time.Duration {
+	if d := time.Duration(f.cfg.Settings.Limits.ConnectTimeout); d > 0 {
+		return d
+	}
+	return time.Second
+}
+
+// Up ends the wait for the connection.
+func (x *exchange) Up(*net.Conn) { x.timer.Stop() }
+
+// Data reads the answer.
+func (x *exchange) Data(*net.Conn) {
+	if !x.busy {
+		x.close() // nothing was asked
+		return
+	}
+	for {
+		whole, err := x.in.Feed(x.conn.In())
+		if err != nil {
+			x.fail()
+			return
+		}
+		if !whole {
+			return
+		}
+		if x.in.Status >= 200 {
+			break
+		}
+		x.conn.Use(x.in.Size()) // a 100: the answer is still to come
+		x.in.Next()
+	}
+	m, body := x.in.Message, append([]byte(nil), x.in.Body(x.conn.In())...)
+	x.conn.Use(x.in.Size())
+	x.in.Next()
+	x.finish(&m, body)
+}
+
+// finish hands the answer over and keeps the connection for the next request.
+func (x *exchange) finish(m *net.Message, body []byte) {
+	x.busy = false
+	done := x.done
+	x.done = nil
+	listed := x.hop.front.hops[x.hop.name] == x.hop && x.hop.address == x.address
+	if m.Close || !listed || len(x.conn.In()) > 0 || len(x.hop.idle) >= idleMost {
+		x.close()
+	} else {
+		x.hop.idle = append(x.hop.idle, x)
+		x.timer = x.hop.front.loop.After(x.hop.front.idleFor(), x.close)
+	}
+	done(m, body, false)
+}
+
+// idleFor is how long a connection stays idle: well short of the time at which the
+// next hop closes it, for what crosses that ends as a reset.
+func (f *Front) idleFor() time.Duration {
+	if d := time.Duration(f.cfg.Settings.Limits.ConnIdle); d > 0 {
+		return d / 2
+	}
+	return 5 * time.Second
+}
+
+// Ended is the end of the connection from the other side.
+func (x *exchange) Ended(*net.Conn, error) {
+	if x.busy && x.in.Ended() {
+		m, body := x.in.Message, x.in.Body(x.conn.In())
+		x.busy = false
+		x.done(&m, body, false)
+		return
+	}
+	x.fail()
+}
+
+// fail ends the exchange without an answer. A request of which the kernel still
+// held a part, or whose connection never came up, can't have run.
+func (x *exchange) fail() {
+	unsent := x.conn.Connecting() || x.conn.Unsent() > 0
+	done := x.done
+	if x.close(); done != nil {
+		done(nil, nil, unsent)
+	}
+}
+
+// close drops the connection; nothing is told.
+func (x *exchange) close() {
+	x.conn.Close()
+	x.timer.Stop()
+	x.busy, x.done = false, nil
+	for i, other := range x.hop.idle {
+		if other == x {
+			x.hop.idle = append(x.hop.idle[:i], x.hop.idle[i+1:]...)
+			break
+		}
+	}
+}
+
+// CloseIdle closes the idle connections.
+func (h *nextHop) CloseIdle() {
+	for len(h.idle) > 0 {
+		h.idle[len(h.idle)-1].close()
+	}
+}
+
+// branch is one attempt under way.
+type branch struct {
+	hop      *nextHop
+	x        *exchange
+	job      string
+	accepted bool
+}
+
+// Start sends a job.
+func (h *nextHop) Start(b core.Branch) core.Running {
+	j := b.Job.(*job)
+	left := max(b.Limit-h.front.loop.Now(), time.Microsecond)
+	extra := fmt.Sprintf("X-Request-ID: %s\r\nX-Timeout: %du\r\n", b.Name, left.Microseconds())
+	if j.key != "" {
+		extra += "Idempotency-Key: " + j.key + "\r\n"
+	}
+	br := &branch{hop: h, job: b.Name}
+	br.x = h.send(net.AppendRequest(nil, "POST", j.target, h.address, extra, j.body),
+		func(m *net.Message, body []byte, unsent bool) {
+			if m != nil && m.Status == 202 {
+				br.accepted = true // its end comes as a call-back
+				return
+			}
+			h.front.core.End(b.ID, resultOf(m, unsent), nil, h.front.loadOf(m))
+		})
+	return br
+}
+
+// resultOf is the protocol's table of what comes back. Only what proves that the
+// job never ran may say so.
+func resultOf(m *net.Message, unsent bool) brain.Result {
+	switch {
+	case m == nil && unsent:
+		return brain.ConnectFailed
+	case m == nil:
+		return brain.Reset
+	case (m.Status == 503 || m.Status == 504) && m.Get("X-Not-Processed") == "1":
+		return brain.Full
+	}
+	return brain.Error
+}
+
+// GiveUp tells the next hop that nobody waits: by a call once it has taken the
+// job, by closing before.
+func (b *branch) GiveUp() {
+	if !b.accepted {
+		if b.x != nil && b.x.busy {
+			b.x.close()
+		}
+		return
+	}
+	request := net.AppendRequest(nil, "DELETE", "/jobs/"+url.PathEscape(b.job), b.hop.address, "", nil)
+	b.hop.send(request, func(*net.Message, []byte, bool) {})
+}
+
+// Probe asks for the load report.
+func (h *nextHop) Probe(done func(brain.Result, brain.Report)) {
+	answered := false
+	tell := func(res brain.Result, r brain.Report) {
+		if !answered {
+			answered = true
+			done(res, r)
+		}
+	}
+	var timer *net.Timer
+	x := h.send(net.AppendRequest(nil, "GET", "/_load", h.address, "", nil),
+		func(m *net.Message, body []byte, unsent bool) {
+			timer.Stop()
+			switch {
+			case m == nil:
+				tell(resultOf(m, unsent), brain.NoReport)
+			case m.Status != 200:
+				tell(brain.Error, brain.NoReport)
+			default:
+				tell(brain.OK, h.front.parseLoad(string(body)))
+			}
+		})
+	if x != nil && x.busy {
+		timer = h.front.loop.After(probing, func() {
+			x.close()
+			tell(brain.TimedOut, brain.NoReport)
+		})
+	}
+}
+
+// loadOf is the load report that an answer carries.
+func (f *Front) loadOf(m *net.Message) brain.Report {
+	if m == nil {
+		return brain.NoReport
+	}
+	return f.parseLoad(m.Get("X-Server-Load"))
+}
+
+// parseLoad reads a load report, as an object or as "TEXT name=value, name=value".
+func (f *Front) parseLoad(s string) brain.Report {
+	r := brain.NoReport
+	s = strings.TrimSpace(s)
+	if strings.HasPrefix(s, "{") {
+		var values map[string]float64
+		if json.Unmarshal([]byte(s), &values) == nil {
+			for name, v := range values {
+				f.names.report.Set(&r, name, v)
+			}
+		}
+		return r
+	}
+	for item := range strings.SplitSeq(strings.TrimPrefix(s, "TEXT"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			f.names.report.Set(&r, name, v)
+		}
+	}
+	return r
+}
--- a/cmd/drill/settings.go
+++ b/internal/settings/settings.go
@@ -1,16 +1,18 @@
-package main
+// Package settings reads the settings object that the simulator's first message
+// and a real node's configuration both hold, and turns it into the module's.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"copperramp/brain"
+	"moorstack/brain"
 )
 
-// params is the settings object as the wire words it. It is read once for each
-// start of an instance, so the standard library's decoder does.
-type params struct {
+// Settings is the object as the wire words it. It is read once for each start,
+// so the standard library's decoder does.
+type Settings struct {
 	AZ      int `json:"az"`
 	Me      int `json:"me"`
 	Fleet   int `json:"fleet_size"`
@@ -102,19 +104,36 @@
 		"nominal": brain.SizeNominal, "rough": brain.SizeRough, "live": brain.SizeLive}
 )
 
-// reportNames says in words what the two free values of a load report hold.
-type reportNames struct{ x0, x1 string }
+// ReportNames says in words what the two free values of a load report hold.
+type ReportNames struct{ x0, x1 string }
 
-// report gives an event's load report, with those two values in their places.
-func (n reportNames) report(ev *event) brain.Report {
-	r := ev.report
-	n.place(&r, n.x0, ev.x0)
-	n.place(&r, n.x1, ev.x1)
-	return r
-}
+// Names are the words for the free values.
+func (p *Settings) Names() ReportNames { return ReportNames{p.Extra.ReportX0, p.Extra.ReportX1} }
 
-func (reportNames) place(r *brain.Report, name string, v float64) {
+// Set puts a value of a load report in its place. What the module has no place
+// for is passed over. Sites name the values in the wire's words or in their own.
+func (n ReportNames) Set(r *brain.Report, name string, v float64) {
 	switch name {
+	case "x0":
+		n.free(r, n.x0, v)
+	case "x1":
+		n.free(r, n.x1, v)
+	case "busy_reqs", "inflight":
+		r.InFlight = v
+	case "pending", "queue":
+		r.Queue = v
+	case "cpu_share", "util":
+		r.Busy = v
+	case "served_ps", "qps":
+		r.Served = v
+	case "failed_ps", "eps":
+		r.Failed = v
+	}
+	r.Told = true
+}
+
+func (ReportNames) free(r *brain.Report, what string, v float64) {
+	switch what {
 	case "free slots":
 		r.FreeSlots = v
 	case "free memory":
@@ -122,12 +141,17 @@
 	}
 }
 
-// settings turns the wire's settings into the module's.
-func settings(raw []byte) (brain.Settings, reportNames, error) {
-	var p params
+// Parse reads the object.
+func Parse(raw []byte) (*Settings, error) {
+	var p Settings
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return brain.Settings{}, reportNames{}, fmt.Errorf("params: %w", err)
+		return nil, fmt.Errorf("params: %w", err)
 	}
+	return &p, nil
+}
+
+// Brain gives the settings in the module's form.
+func (p *Settings) Brain() (brain.Settings, error) {
 	s := brain.Settings{
 		Me: p.Me, Fleet: p.Fleet, Zone: p.AZ, Zones: len(p.Zones), Kinds: len(p.Kinds),
 		MustAsk:      p.MembershipMode == "on_request",
@@ -167,10 +191,10 @@
 			Worth: c.Credit, LateShare: c.LateShare, Stream: c.Stream, Window: time.Duration(c.Window),
 			Kind: -1}
 		if class.Effect, ok = effects[c.Effect]; !ok {
-			return s, reportNames{}, fmt.Errorf("params: class %d: unknown effect %q", i, c.Effect)
+			return s, fmt.Errorf("params: class %d: unknown effect %q", i, c.Effect)
 		}
 		if class.Scope, ok = scopes[c.KeyScope]; !ok {
-			return s, reportNames{}, fmt.Errorf("params: class %d: unknown key_scope %q", i, c.KeyScope)
+			return s, fmt.Errorf("params: class %d: unknown key_scope %q", i, c.KeyScope)
 		}
 		if c.AimStretch != nil {
 			class.Stretch = *c.AimStretch
@@ -188,5 +212,5 @@
 	for _, t := range p.Tenants {
 		s.Tenants = append(s.Tenants, brain.Tenant{Name: t.Name, Share: t.Share, Allowance: t.Allowance})
 	}
-	return s, reportNames{p.Extra.ReportX0, p.Extra.ReportX1}, nil
+	return s, nil
 }
