Keep lines within 110 columns and the load report's names to the settings

A probe (a copy that logs the first heads and load reports) showed that workers name the values as the settings do, TEXT pending=..., x0=..., and that X-Attrs carries slots=1; the further spellings that were guessed are gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -248,8 +248,8 @@
 	for _, b := range t.branches {
 		if !b.ended && b.hop.name == name {
 			c.do(func() {
-				c.bal.Progress(c.clock.Now(), brain.Note{ID: brain.RequestID(id), Attempt: b.n, Worker: b.hop.id,
-					Started: started, Done: share})
+				c.bal.Progress(c.clock.Now(), brain.Note{ID: brain.RequestID(id), Attempt: b.n,
+					Worker: b.hop.id, Started: started, Done: share})
 			})
 			return
 		}
@@ -271,8 +271,8 @@
 	}
 	c.do(func() {
 		now := c.clock.Now()
-		c.bal.Outcome(now, brain.Outcome{ID: brain.RequestID(t.ID), Attempt: b.n, Worker: b.hop.id, Result: res,
-			Took: now - b.sent, Settled: t.client == nil, Report: report})
+		c.bal.Outcome(now, brain.Outcome{ID: brain.RequestID(t.ID), Attempt: b.n, Worker: b.hop.id,
+			Result: res, Took: now - b.sent, Settled: t.client == nil, Report: report})
 		c.forget(t)
 	})
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -120,8 +120,8 @@
 	entries := make([]core.Entry, 0, len(set.Instances))
 	named := map[string]bool{}
 	for _, l := range set.Instances {
-		e := core.Entry{Name: l.ID, Zone: indexOf(f.names.zones, l.Zone), Kind: indexOf(f.names.kinds, l.Kind),
-			Cell: l.Cell, State: lifecycles[l.Lifecycle], Size: l.Weight,
+		e := core.Entry{Name: l.ID, Cell: l.Cell, State: lifecycles[l.Lifecycle], Size: l.Weight,
+			Zone: indexOf(f.names.zones, l.Zone), Kind: indexOf(f.names.kinds, l.Kind),
 			Since: time.Duration(l.StartedMS) * time.Millisecond}
 		if e.State == brain.Removed {
 			f.remove(l.ID)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,22 +111,23 @@
 func (p *Settings) Names() ReportNames { return ReportNames{p.Extra.ReportX0, p.Extra.ReportX1} }
 
 // Set puts a value of a load report in its place. What the module has no place
-// for is passed over. Sites name the values in the wire's words or in their own.
+// for is passed over. The settings and both wires use the same words: a real
+// worker's report was seen to be "TEXT pending=0, served_ps=0, svc_ms=0, x0=7.255".
 func (n ReportNames) Set(r *brain.Report, name string, v float64) {
 	switch name {
 	case "x0":
 		n.free(r, n.x0, v)
 	case "x1":
 		n.free(r, n.x1, v)
-	case "busy_reqs", "inflight":
+	case "busy_reqs":
 		r.InFlight = v
-	case "pending", "queue":
+	case "pending":
 		r.Queue = v
-	case "cpu_share", "util":
+	case "cpu_share":
 		r.Busy = v
-	case "served_ps", "qps":
+	case "served_ps":
 		r.Served = v
-	case "failed_ps", "eps":
+	case "failed_ps":
 		r.Failed = v
 	}
 	r.Told = true
