Test the platform front from outside; add the Faktory front, not tested yet

The tests start the program and are its clients, next hops and discovery: input in pieces and pipelined, bad input, each row of the protocol's table for both kinds of class, call-backs early, twice and foreign, time-outs, clients that leave, busy answers, drains, moved addresses, silent watches, SIGTERM and running out of descriptors. The Faktory front is wired behind -faktory FILE and off without it; its tests are next.

--- /dev/null
+++ b/cmd/moorstack/harness_test.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The tests start the program as a process and are its clients, next hops and
+// discovery. They wait by polling, with a limit.
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "moorstack")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "moorstack")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const limit = 10 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain for %v: %s", limit, what)
+		}
+	}
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const class = `{"name":%q,"credit":5,"effect":%q,"give_up":5000000000,"key_scope":"cell",` +
+	`"late_share":0.5,"slo":4000000000,"window":25000000000}`
+
+var testSettings = `{"az":0,"me":0,"fleet_size":1,"classes":[` + fmt.Sprintf(class, "quote", "retryable") +
+	"," + fmt.Sprintf(class, "book", "dedup") + `],"contract":{"answer_slack":20000000,` +
+	`"ask_every":10000000000,"drain_grace":1000000000},"extra":{"report_x0":"free slots"},` +
+	`"granularity":5000000,"kinds":["k"],` +
+	`"limits":{"cancel":true,"conn_idle":15000000000,"connect_timeout":250000000,"try_limit":5,` +
+	`"max_retry_after":2000000000,"probes":true,"retry_after":true},"membership_mode":"on_request",` +
+	`"report":{"how":"pull","names":["pending","x0"]},"blend":{"whole":1},"zones":["z"],` +
+	`"tenants":[{"name":"muscat","share":1}],"worth_by":"work"}`
+
+// world is a node and what is around it.
+type world struct {
+	t       *testing.T
+	addr    string
+	cmd     *exec.Cmd
+	hops    []*hop
+	mu      sync.Mutex
+	watches chan *watch // that discovery was asked for
+}
+
+// seen is a call that a next hop got.
+type seen struct {
+	hop                    *hop
+	method, path, body, id string
+	header                 http.Header
+}
+
+// hop is a next hop whose behaviour a test gives; do is called for each job.
+type hop struct {
+	w    *world
+	name string
+	srv  *httptest.Server
+	do   func(n int, s seen, rw http.ResponseWriter)
+	got  []seen
+}
+
+type watch struct {
+	line chan string // what to send; closed: the watch ends
+	path string
+}
+
+// newWorld starts next hops, discovery and a node. Do is told which attempt of all this is.
+func newWorld(t *testing.T, hops int, do func(n int, s seen, rw http.ResponseWriter), args ...string) *world {
+	w := &world{t: t, addr: freeAddress(t), watches: make(chan *watch, 16)}
+	known := []string{}
+	for i := range hops {
+		h := &hop{w: w, name: fmt.Sprintf("s-%04d", i), do: do}
+		h.srv = httptest.NewServer(h)
+		t.Cleanup(h.srv.Close)
+		w.hops = append(w.hops, h)
+		known = append(known, h.line("SERVING"))
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(w.discovery))
+	t.Cleanup(discovery.Close)
+	t.Cleanup(discovery.CloseClientConnections)
+	list := fmt.Sprintf(`{"generation":41,"reset":true,"instances":[%s]}`, strings.Join(known, ","))
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
+		`"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, w.addr,
+		strings.TrimPrefix(discovery.URL, "http://"), list, testSettings)
+	file := filepath.Join(t.TempDir(), "config.json")
+	check(t, os.WriteFile(file, []byte(config), 0o600))
+	w.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n ${FILES:-1024}; exec "$0" "$@"`,
+		program}, args...)...)
+	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+file)
+	w.cmd.Stderr = os.Stderr
+	check(t, w.cmd.Start())
+	t.Cleanup(func() {
+		if w.cmd.ProcessState == nil {
+			_ = w.cmd.Process.Kill()
+			_ = w.cmd.Wait()
+		}
+	})
+	eventually(t, "the node listens", func() bool {
+		c, err := net.Dial("tcp", w.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	return w
+}
+
+func (h *hop) line(lifecycle string) string {
+	cell := strings.TrimLeft(h.name[2:]+"1", "0") // a pod of its own
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":"k","cell":%s,`+
+		`"lifecycle":%q,"weight":1,"startedAtMs":0}`, h.name, h.srv.Listener.Addr(), cell, lifecycle)
+}
+
+func (w *world) discovery(rw http.ResponseWriter, r *http.Request) {
+	watch := &watch{line: make(chan string, 16), path: r.URL.String()}
+	w.watches <- watch
+	rw.WriteHeader(200)
+	rw.(http.Flusher).Flush()
+	for {
+		select {
+		case line, ok := <-watch.line:
+			if !ok {
+				return
+			}
+			fmt.Fprintln(rw, line)
+			rw.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (h *hop) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/_load" {
+		fmt.Fprint(rw, "TEXT pending=0, x0=6")
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	s := seen{h, r.Method, r.URL.String(), string(body), r.Header.Get("X-Request-ID"), r.Header}
+	h.w.mu.Lock()
+	h.got = append(h.got, s)
+	n := 0
+	for _, other := range h.w.hops {
+		for _, s := range other.got {
+			if s.method == "POST" {
+				n++
+			}
+		}
+	}
+	h.w.mu.Unlock()
+	if r.Method == "POST" {
+		h.do(n, s, rw)
+	}
+}
+
+// calls counts the calls of a method that all next hops got.
+func (w *world) calls(method string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hops {
+		for _, s := range h.got {
+			if s.method == method {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// callBack tells the node of a job's state and returns the status it answers with.
+func (w *world) callBack(id, from, state, result string) int {
+	body, _ := json.Marshal(map[string]string{"id": id, "from": from, "state": state, "result": result})
+	resp, err := http.Post("http://"+w.addr+"/v1/job-events", "", strings.NewReader(string(body)))
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// accept takes a job and tells its state a little later.
+func accept(s seen, rw http.ResponseWriter, state string) {
+	rw.WriteHeader(202)
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		s.hop.w.callBack(s.id, s.hop.name, state, "did "+s.body)
+	}()
+}
+
+// cut breaks the connection.
+func cut(rw http.ResponseWriter) {
+	c, _, _ := rw.(http.Hijacker).Hijack()
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+func job(id, class, timeout, body string) string {
+	return fmt.Sprintf("POST /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: %s\r\n"+
+		"X-Priority-Class: %s\r\nX-Tenant-Id: muscat\r\nX-Timeout: %s\r\nIdempotency-Key: key-%s\r\n"+
+		"X-Cost: 1000\r\nX-Attrs: slots=1\r\nContent-Length: %d\r\n\r\n%s",
+		id, class, timeout, id, len(body), body)
+}
+
+// client is a raw connection to the node.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func (w *world) dial() *client { return dial(w.t, w.addr) }
+
+func dial(t *testing.T, addr string) *client {
+	c, err := net.Dial("tcp", addr)
+	check(t, err)
+	t.Cleanup(func() { c.Close() })
+	check(t, c.SetDeadline(time.Now().Add(2*limit)))
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func (c *client) send(text string) *client {
+	_, err := io.WriteString(c, text)
+	check(c.t, err)
+	return c
+}
+
+// answer reads a response.
+func (c *client) answer() (*http.Response, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	check(c.t, err)
+	body, err := io.ReadAll(resp.Body)
+	check(c.t, err)
+	return resp, string(body)
+}
+
+func (c *client) want(status int, body string) *http.Response {
+	c.t.Helper()
+	resp, got := c.answer()
+	if resp.StatusCode != status || body != "" && got != body {
+		c.t.Fatalf("answer %d %q, want %d %q", resp.StatusCode, got, status, body)
+	}
+	return resp
+}
--- a/cmd/moorstack/main.go
+++ b/cmd/moorstack/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"flag"
 	"os"
 	"os/signal"
 	"runtime"
@@ -13,7 +14,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"moorstack/brain"
 	"moorstack/internal/core"
+	"moorstack/internal/faktory"
 	"moorstack/internal/net"
 	"moorstack/internal/platform"
 )
@@ -23,7 +26,10 @@
 
 func (c clock) At(at time.Duration, f func()) core.Timer { return c.Loop.At(at, f) }
 
+var faktoryFile = flag.String("faktory", "", "serve the Faktory work protocol too, as this `file` says")
+
 func main() {
+	flag.Parse()
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	if err := run(log); err != nil {
@@ -61,16 +67,49 @@
 	if err := front.Open(c); err != nil {
 		return err
 	}
+	drain := front.Drain
+	if *faktoryFile != "" {
+		second, err := openFaktory(*faktoryFile, loop, set, cfg.SeedNumber(), entry)
+		if err != nil {
+			return err
+		}
+		drain = func(done func()) { second.Drain(func() { front.Drain(done) }) }
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		for range signals {
 			loop.Post(func() {
 				entry.Info("asked to end")
-				front.Drain(loop.Stop)
+				drain(loop.Stop)
 			})
 		}
 	}()
 	entry.WithField("listen", cfg.Listen).Info("serving")
 	return loop.Run()
 }
+
+// openFaktory opens the second front. It has a route set of its own, and so a core
+// of its own: jobs of the one protocol can't be worked on in the other.
+func openFaktory(path string, loop *net.Loop, set brain.Settings, seed uint64, log logrus.FieldLogger) (
+	*faktory.Front, error) {
+	cfg, err := faktory.ReadConfig(path)
+	if err != nil {
+		return nil, err
+	}
+	set = faktory.Settings(set)
+	log = log.WithField("front", "faktory")
+	front, err := faktory.New(loop, cfg, set, log)
+	if err != nil {
+		return nil, err
+	}
+	c, err := core.New(set, seed, clock{loop}, nil, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := front.Open(c); err != nil {
+		return nil, err
+	}
+	log.WithField("listen", cfg.Listen).Info("serving")
+	return front, nil
+}
--- /dev/null
+++ b/cmd/moorstack/platform_test.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func done(_ int, s seen, rw http.ResponseWriter) { accept(s, rw, "done") }
+
+// What a client sends reaches the next hop unchanged, and its result the client,
+// however the input is cut up or run together.
+func TestServes(t *testing.T) {
+	w := newWorld(t, 2, done)
+	chunked := strings.Replace(job("c", "quote", "4000000u", ""), "Content-Length: 0",
+		"Transfer-Encoding: chunked", 1) + "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: 1\r\n\r\n"
+	c := w.dial()
+	c.send(job("a", "quote", "4000m", "one") + job("b", "book", "4000m", "two") + chunked)
+	c.want(200, "did one")
+	c.want(200, "did two")
+	c.want(200, "did abcde")
+	for i, b := range []byte(strings.ReplaceAll(chunked, "ID: c\r\n", "ID: d\r\n")) {
+		c.send(string(b))
+		if i%16 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.want(200, "did abcde")
+	expects := "Expect: 100-continue\r\nContent"
+	c.send(strings.Replace(job("e", "quote", "4000m", "late"), "Content", expects, 1))
+	c.want(200, "did late")
+	for _, h := range w.hops {
+		for _, s := range h.got {
+			key := "key-" + strings.Replace(s.id, "d", "c", 1)
+			if s.path != "/api?x=1" || s.header.Get("Idempotency-Key") != key ||
+				!strings.HasSuffix(s.header.Get("X-Timeout"), "u") {
+				t.Errorf("the next hop got %+v", s)
+			}
+		}
+	}
+}
+
+// Bad input is answered and ends at most its own connection.
+func TestBadInput(t *testing.T) {
+	w := newWorld(t, 1, done)
+	with := func(old, new string) string {
+		return strings.Replace(job("x", "quote", "400m", "b"), old, new, 1)
+	}
+	long := strings.Repeat("x", 20000)
+	for _, c := range []struct {
+		name, in string
+		status   int
+	}{
+		{"no request", "hello\r\n\r\n", 400},
+		{"a binary mess", "\x00\xff\r\n\r\n", 400},
+		{"bare line end", "POST /api HTTP/1.1\nHost: x\n\n", 400},
+		{"other version", with("HTTP/1.1", "HTTP/2.0"), 400},
+		{"space in a name", with("Host:", "Ho st:"), 400},
+		{"folded line", with("Host: app.svc", "Host: a\r\n b"), 400},
+		{"two lengths", with("Content-Length: 1", "Content-Length: 1\r\nContent-Length: 2"), 400},
+		{"length and chunks", with("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"), 400},
+		{"negative length", with("Content-Length: 1", "Content-Length: -1"), 400},
+		{"bad chunk", with("Content-Length: 1", "Transfer-Encoding: chunked") + "zz\r\n", 400},
+		{"unknown class", job("x", "nothing", "400m", "b"), 400},
+		{"unknown tenant", with("muscat", "mars"), 400},
+		{"no id", with("X-Request-ID", "X-Other"), 400},
+		{"no timeout", with("X-Timeout", "X-Other"), 400},
+		{"timeout without unit", job("x", "quote", "400", "b"), 400},
+		{"negative timeout", job("x", "quote", "-4m", "b"), 400},
+		{"endless timeout", job("x", "quote", "1e999m", "b"), 400},
+		{"timeout not a number", job("x", "quote", "NaNm", "b"), 400},
+		{"large body", with("Content-Length: 1", "Content-Length: 65537"), 413},
+		{"large chunk", with("Content-Length: 1\r\n\r\nb",
+			"Transfer-Encoding: chunked\r\n\r\n10001\r\n"), 413},
+		{"large head", with("app.svc", long), 431},
+		{"endless head", "GET /" + long, 431},
+		{"many lines", with("Host", strings.Repeat("A: b\r\n", 200)+"Host"), 431},
+		{"unknown path", "GET /nowhere HTTP/1.1\r\n\r\n", 404},
+		{"call-back that is no JSON", "POST /v1/job-events HTTP/1.1\r\nContent-Length: 1\r\n\r\n{", 204},
+	} {
+		t.Run(c.name, func(t *testing.T) { w.dial().send(c.in).want(c.status, "") })
+	}
+	w.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(200, "")
+	if n := w.calls("POST"); n != 0 {
+		t.Errorf("%d jobs came through", n)
+	}
+}
+
+// The protocol's table: what may have run is repeated only where the class allows.
+func TestOutcomes(t *testing.T) {
+	status := func(code int, notRun string) func(int, seen, http.ResponseWriter) {
+		return func(_ int, _ seen, rw http.ResponseWriter) {
+			rw.Header().Set("X-Not-Processed", notRun)
+			rw.WriteHeader(code)
+		}
+	}
+	state := func(state string) func(int, seen, http.ResponseWriter) {
+		return func(_ int, s seen, rw http.ResponseWriter) { accept(s, rw, state) }
+	}
+	for _, c := range []struct {
+		name  string
+		first func(int, seen, http.ResponseWriter)
+		ran   bool
+	}{
+		{"failed", state("failed"), true},
+		{"lost", state("lost"), true},
+		{"returned", state("returned"), false},
+		{"500", status(500, ""), true},
+		{"503", status(503, ""), true},
+		{"503 not processed", status(503, "1"), false},
+		{"504 not processed", status(504, "1"), false},
+		{"reset", func(_ int, _ seen, rw http.ResponseWriter) { cut(rw) }, true},
+	} {
+		for class, answer := range map[string]int{"quote": 200, "book": 502} {
+			t.Run(c.name+" "+class, func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 2, func(n int, s seen, rw http.ResponseWriter) {
+					if n == 1 {
+						c.first(n, s, rw)
+						return
+					}
+					accept(s, rw, "done")
+				})
+				want, calls := answer, 2
+				if !c.ran {
+					want = 200
+				}
+				if want != 200 {
+					calls = 1 // the other next hop is of another pod
+				}
+				w.dial().send(job("a", class, "3000m", "x")).want(want, "")
+				if n := w.calls("POST"); n != calls {
+					t.Errorf("%d attempts, want %d", n, calls)
+				}
+			})
+		}
+	}
+}
+
+// A connection that is refused proves that nothing ran.
+func TestUnreachable(t *testing.T) {
+	w := newWorld(t, 2, done)
+	w.hops[0].srv.Close()
+	for i := range 8 {
+		w.dial().send(job(fmt.Sprint("a", i), "book", "3000m", "x")).want(200, "did x")
+	}
+}
+
+// A call-back may come before the 202, again, from elsewhere, or for no job at all.
+func TestCallBacks(t *testing.T) {
+	codes := make(chan int, 8)
+	w := newWorld(t, 1, func(_ int, s seen, rw http.ResponseWriter) {
+		codes <- s.hop.w.callBack(s.id, "s-9999", "done", "of another")
+		codes <- s.hop.w.callBack(s.id, s.hop.name, "done", "right")
+		codes <- s.hop.w.callBack(s.id, s.hop.name, "done", "again")
+		codes <- s.hop.w.callBack(s.id, s.hop.name, "failed", "")
+		codes <- s.hop.w.callBack("unknown", s.hop.name, "done", "x")
+		rw.WriteHeader(202)
+	})
+	c := w.dial().send(job("a", "quote", "3000m", "x"))
+	c.want(200, "right")
+	for range 5 {
+		if code := <-codes; code != 204 {
+			t.Errorf("a call-back got %d", code)
+		}
+	}
+	c.send(job("b", "quote", "3000m", "x")).want(200, "right")
+}
+
+// A silent next hop: the answer comes when the client's time is up and the job is given up.
+func TestTimeOut(t *testing.T) {
+	w := newWorld(t, 1, func(_ int, _ seen, rw http.ResponseWriter) { rw.WriteHeader(202) })
+	began := time.Now()
+	w.dial().send(job("a/b", "book", "300m", "x")).want(502, "")
+	if took := time.Since(began); took < 290*time.Millisecond || took > 370*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+	eventually(t, "the job is given up", func() bool { return w.calls("DELETE") == 1 })
+	if s := w.hops[0].got[1]; s.path != "/jobs/a%2Fb" {
+		t.Errorf("given up by %q", s.path)
+	}
+}
+
+// A client that leaves frees its request's ID; the node goes on.
+func TestClientGone(t *testing.T) {
+	w := newWorld(t, 1, func(n int, s seen, rw http.ResponseWriter) {
+		if rw.WriteHeader(202); n > 1 {
+			go s.hop.w.callBack(s.id, s.hop.name, "done", "ok")
+		}
+	})
+	c := w.dial().send(job("a", "quote", "500m", "x"))
+	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
+	w.dial().send(job("a", "quote", "500m", "x")).want(409, "")
+	c.Close()
+	eventually(t, "the branch is given up at its limit", func() bool { return w.calls("DELETE") == 1 })
+	w.dial().send(job("a", "quote", "500m", "x")).want(200, "ok")
+}
+
+// Without a next hop the node is not healthy, and refuses at once.
+func TestBusyAnswer(t *testing.T) {
+	w := newWorld(t, 0, done)
+	w.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(503, "")
+	began := time.Now()
+	resp := w.dial().send(job("a", "quote", "4000m", "x")).want(503, "")
+	if resp.Header.Get("Retry-After") == "" || time.Since(began) > time.Second {
+		t.Errorf("after %v, Retry-After %q", time.Since(began), resp.Header.Get("Retry-After"))
+	}
+}
+
+// The route set follows the watch: drains, new addresses, ends and silence.
+func TestRouteSet(t *testing.T) {
+	w := newWorld(t, 2, done)
+	watch := <-w.watches
+	if watch.path != "/catalog/members?stream=1&index=41" {
+		t.Errorf("watched by %q", watch.path)
+	}
+	a, b := w.hops[0], w.hops[1]
+	watch.line <- `{"generation":42,"reset":false,"instances":[` + a.line("DRAINING") + "]}"
+	time.Sleep(100 * time.Millisecond)
+	for i := range 10 {
+		w.dial().send(job(fmt.Sprint("d", i), "quote", "3000m", "x")).want(200, "")
+	}
+	if len(a.got) != 0 {
+		t.Errorf("a draining next hop got %d jobs", len(a.got))
+	}
+	moved := strings.Replace(a.line("SERVING"), a.name, b.name, 1) // b is now where a was
+	watch.line <- `{"generation":43,"reset":true,"instances":[` + moved + "]}"
+	time.Sleep(100 * time.Millisecond)
+	w.dial().send(job("m", "quote", "1000m", "x"))
+	eventually(t, "the new address is used", func() bool { return len(a.got) > 0 })
+	close(watch.line)
+	next := <-w.watches
+	if next.path != "/catalog/members?stream=1&index=43" {
+		t.Errorf("watched by %q", next.path)
+	}
+	began := time.Now() // and say nothing
+	select {
+	case <-w.watches:
+		if d := time.Since(began); d < 3*time.Second {
+			t.Errorf("given up after %v", d)
+		}
+	case <-time.After(limit):
+		t.Error("a silent watch is still trusted")
+	}
+}
+
+// SIGTERM: what was taken is finished, new connections are served for a while.
+func TestTerm(t *testing.T) {
+	w := newWorld(t, 1, func(_ int, s seen, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		time.AfterFunc(time.Second, func() { s.hop.w.callBack(s.id, s.hop.name, "done", "ok") })
+	})
+	c := w.dial().send(job("a", "book", "4000m", "x"))
+	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(200 * time.Millisecond)
+	late := w.dial().send(job("b", "book", "4000m", "x"))
+	for _, c := range []*client{c, late} {
+		if resp := c.want(200, "ok"); !resp.Close {
+			t.Error("the answer does not close the connection")
+		}
+	}
+	if err := w.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Out of descriptors, the node waits for some to be free again, and goes on.
+func TestDescriptors(t *testing.T) {
+	t.Setenv("FILES", "40")
+	w := newWorld(t, 1, done)
+	c := w.dial().send(job("a", "quote", "3000m", "x"))
+	c.want(200, "")
+	var crowd []*client
+	for range 60 {
+		crowd = append(crowd, w.dial())
+	}
+	time.Sleep(100 * time.Millisecond)
+	waiting := w.dial().send("GET /_health HTTP/1.1\r\n\r\n")
+	for _, c := range crowd {
+		c.Close()
+	}
+	waiting.want(200, "")
+	c.send(job("b", "quote", "3000m", "x")).want(200, "")
+}
--- a/internal/faktory/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package faktory will be the second front. It holds nothing yet.
-package faktory
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -106,6 +106,9 @@
 // Closed says that the connection has ended, from whichever side.
 func (c *Conn) Closed() bool { return c.closed }
 
+// Finished says that Finish was called.
+func (c *Conn) Finished() bool { return c.closing }
+
 // Write sends p, now or as the peer takes it.
 func (c *Conn) Write(p []byte) {
 	if c.closed || c.closing {
