--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -75,6 +75,8 @@
 		{"large body", with("Content-Length: 1", "Content-Length: 65537"), 413},
 		{"large chunk", with("Content-Length: 1\r\n\r\nb",
 			"Transfer-Encoding: chunked\r\n\r\n10001\r\n"), 413},
+		{"more framing than body", with("Content-Length: 1\r\n\r\nb",
+			"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", 50000)), 413},
 		{"large head", with("app.svc", long), 431},
 		{"endless head", "GET /" + long, 431},
 		{"many lines", with("Host", strings.Repeat("A: b\r\n", 200)+"Host"), 431},
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -106,6 +106,9 @@
 // Closed says that the connection has ended, from whichever side.
 func (c *Conn) Closed() bool { return c.closed }
 
+// Full says that nothing more is read until some input is used.
+func (c *Conn) Full() bool { return c.mid >= most }
+
 // Finished says that Finish was called.
 func (c *Conn) Finished() bool { return c.closing }
 
@@ -171,7 +174,7 @@
 	switch {
 	case c.connecting || c.Unsent() > 0:
 		return unix.EPOLLOUT
-	case c.mid >= most:
+	case c.Full():
 		return 0
 	}
 	return unix.EPOLLIN | unix.EPOLLRDHUP
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -15,8 +15,9 @@
 	members = "/catalog/members"
 
 	// silence is when a watch is taken for dead: a blank line is due every 2 s, and a
-	// machine that vanished leaves its connections open and says nothing.
-	silence = 5 * time.Second
+	// machine that vanished leaves its connections open and says nothing. News counts as
+	// told 6 s late, and asking anew takes its time too.
+	silence = 4500 * time.Millisecond
 	// longest is the longest line of a watch that is taken in.
 	longest = 4 << 20
 )
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -120,6 +120,10 @@
 func (c *client) Data(*net.Conn) {
 	for !c.waits && !c.last && !c.conn.Closed() && len(c.conn.In()) > 0 {
 		whole, err := c.in.Feed(c.conn.In())
+		if err == nil && !whole && c.conn.Full() {
+			// Hazard: a body in chunks of a byte is mostly framing, and would wait here unread.
+			err = &net.BadMessage{Status: 413, Reason: "the framing of the body is too large"}
+		}
 		if err != nil {
 			c.refuse(err)
 			return
