--- a/internal/net/http.go
+++ b/internal/net/http.go
@@ -239,7 +239,7 @@
 		p.Target, version, _ = strings.Cut(b, " ")
 		ok = ok && token(p.Method) && visible(p.Target) && p.Target != ""
 	}
-	if !ok || len(version) != 8 || !strings.HasPrefix(version, "HTTP/1.") ||
+	if !ok || !printable(line) || len(version) != 8 || !strings.HasPrefix(version, "HTTP/1.") ||
 		version[7] != '0' && version[7] != '1' {
 		return 0, bad("the first line is %.60q", line)
 	}
