Bound the memory of open Faktory jobs, and give a last copy no second worker

Read through for what a full house does: 10,000 jobs of 64 KiB are four times the node's memory, so the open jobs' bytes are bounded and PUSH is refused beyond (Front.push); a job that is over keeps only a digest. A branch that still waited unfetched when another had ended its job would have been handed out; session.fetch ends it instead. The queue's limit counted waiting fetches that want other queues; it no longer does.

--- a/cmd/moorstack/faktory_test.go
+++ b/cmd/moorstack/faktory_test.go
@@ -243,7 +243,7 @@
 
 // What is refused is told at once, and when to come back.
 func TestFaktoryRefusal(t *testing.T) {
-	_, addr := newFaktory(t, "line_bytes = 1000")
+	_, addr := newFaktory(t, "line_bytes = 1000\nbytes = 400")
 	p := enter(t, addr, "")
 	began := time.Now()
 	got := p.must(push("job-0001", "Resize", ""), "-ERR BUSY")
@@ -261,6 +261,15 @@
 	w := enter(t, addr, "w").listed("default") // the refused job may come again
 	p.must(push("job-0001", "Resize", ""), "+OK")
 	w.wantJob("job-0001")
+	large := fmt.Sprintf(`,"custom":{"note":%q}`, strings.Repeat("x", 200))
+	p.must(push("job-0002", "Resize", large), "+OK") // there is room for one
+	p.must(push("job-0003", "Resize", large), "-ERR BUSY")
+	w.ack("job-0001")
+	w.say("FETCH default")
+	w.wantJob("job-0002")
+	w.ack("job-0002")
+	p.must(push("job-0003", "Resize", large), "+OK")
+	p.must(push("job-0003", "Resize", `,"args":[2]`), "-ERR")
 	p.must(strings.Repeat("x", 2000), "-ERR")
 	if _, err := p.r.ReadByte(); err != io.EOF {
 		t.Errorf("after an endless line: %v", err)
--- a/internal/faktory/config.go
+++ b/internal/faktory/config.go
@@ -22,6 +22,7 @@
 	Connections  int
 	LineBytes    int `toml:"line_bytes"`
 	Jobs         int
+	Bytes        int
 	Keep         time.Duration
 	Silence      time.Duration
 	Reserve      time.Duration
@@ -32,7 +33,7 @@
 
 // ReadConfig reads the file.
 func ReadConfig(path string) (*Config, error) {
-	c := &Config{Connections: 256, LineBytes: 64 << 10, Jobs: 10000, Keep: 10 * time.Minute,
+	c := &Config{Connections: 256, LineBytes: 64 << 10, Jobs: 10000, Bytes: 32 << 20, Keep: 10 * time.Minute,
 		Silence: time.Minute, Reserve: 30 * time.Minute, ReserveLeast: time.Minute, Queue: 25}
 	meta, err := toml.DecodeFile(path, c)
 	if err != nil {
@@ -44,9 +45,9 @@
 	if c.Listen == "" {
 		return nil, fmt.Errorf("reading %s: no listen address", path)
 	}
-	if c.Connections < 1 || c.LineBytes < 256 || c.Jobs < 1 || c.Queue < 0 || c.Keep <= 0 ||
-		c.Silence <= 0 || c.Reserve <= 0 || c.ReserveLeast <= 0 {
-		return nil, errors.New("reading " + path + ": a limit is not positive")
+	if c.Connections < 1 || c.LineBytes < 256 || c.LineBytes > 128<<10 || c.Jobs < 1 || c.Bytes < 1 ||
+		c.Queue < 0 || c.Keep <= 0 || c.Silence <= 0 || c.Reserve <= 0 || c.ReserveLeast <= 0 {
+		return nil, errors.New("reading " + path + ": a limit is out of range")
 	}
 	return c, nil
 }
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -1,6 +1,7 @@
 package faktory
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -25,6 +26,7 @@
 	tenants  map[string]int
 	jobs     map[string]*job
 	sessions map[string]*session
+	held     int // bytes of the jobs that are open
 	lastCell int
 	draining bool
 	began    time.Duration
@@ -91,8 +93,9 @@
 // job is a job that was pushed, kept for a while after its final answer.
 type job struct {
 	front *Front
-	text  []byte // as it was pushed
+	text  []byte // as it was pushed; nil once the job is over
 	body
+	digest     [sha256.Size]byte // of what makes it this job and no other
 	state      string
 	taken      bool // PUSH was answered with OK
 	over       bool // it has its final answer
@@ -130,6 +133,8 @@
 	if err != nil {
 		return err
 	}
+	j.digest = sha256.Sum256(append([]byte(j.Type+"\x00"), j.Args...))
+	j.Args = nil
 	if old := f.jobs[j.JID]; old != nil && !old.refused {
 		// Hazard: a producer whose connection broke pushes again what was taken: it would
 		// run twice. The first push stands.
@@ -138,12 +143,15 @@
 	if f.draining {
 		return busy("this node is ending", time.Second)
 	}
-	if len(f.jobs) >= f.cfg.Jobs {
+	// Hazard: the largest jobs, as many as are allowed, are more than the node's memory.
+	if len(f.jobs) >= f.cfg.Jobs || f.held+len(text) > f.cfg.Bytes {
 		return busy("as many jobs are held as may be", time.Second)
 	}
 	f.jobs[j.JID] = j
+	f.held += len(text)
 	if err := f.core.Begin(t, j); err != nil {
 		delete(f.jobs, j.JID)
+		f.held -= len(text)
 		return busy(err.Error(), time.Second)
 	}
 	if !j.over {
@@ -166,7 +174,7 @@
 // again answers a second push of the same job.
 func (j *job) again(second *job) error {
 	switch {
-	case second.Type != j.Type || string(second.Args) != string(j.Args):
+	case second.digest != j.digest:
 		return fmt.Errorf("jid %s is in use by another job", j.JID)
 	case j.over && j.state == failed:
 		return fmt.Errorf("job %s has failed already; a new try needs a new jid", j.JID)
@@ -220,6 +228,8 @@
 // Answer keeps the final answer for the producer to look up.
 func (j *job) Answer(a core.Answer) {
 	j.over, j.updated = true, time.Now()
+	j.front.held -= len(j.text)
+	j.text = nil
 	switch a.Kind {
 	case core.Served:
 		j.state = success
@@ -403,18 +413,20 @@
 // Start assigns a job to the worker; the next fitting FETCH takes it.
 func (s *session) Start(b core.Branch) core.Running {
 	r := &reservation{s: s, job: b.Job.(*job), id: b.ID}
-	if s.lost || s.quiet || !s.wants(r.job.Queue) || len(s.assigned) >= s.front.cfg.Queue+len(s.parked) {
-		s.front.core.End(b.ID, brain.Full, nil, s.load())
-		return r
-	}
-	for _, c := range s.parked {
-		if c.wants[r.job.Queue] {
-			s.unpark(c)
-			s.hand(c, r)
+	if !s.lost && !s.quiet && s.wants(r.job.Queue) {
+		for _, c := range s.parked {
+			if c.wants[r.job.Queue] {
+				s.unpark(c)
+				s.hand(c, r)
+				return r
+			}
+		}
+		if len(s.assigned) < s.front.cfg.Queue {
+			s.assigned = append(s.assigned, r)
 			return r
 		}
 	}
-	s.assigned = append(s.assigned, r)
+	s.front.core.End(b.ID, brain.Full, nil, s.load())
 	return r
 }
 
@@ -434,12 +446,18 @@
 	for _, q := range queues {
 		c.wants[q] = true
 	}
-	for i, r := range s.assigned {
-		if c.wants[r.job.Queue] {
-			s.assigned = append(s.assigned[:i:i], s.assigned[i+1:]...)
+	for i := 0; i < len(s.assigned); i++ {
+		r := s.assigned[i]
+		if !r.job.over && !c.wants[r.job.Queue] {
+			continue
+		}
+		s.assigned = append(s.assigned[:i:i], s.assigned[i+1:]...)
+		if !r.job.over {
 			s.hand(c, r)
 			return
 		}
+		s.front.core.End(r.id, brain.Cancelled, nil, s.load()) // another copy has ended it
+		i--
 	}
 	s.parked = append(s.parked, c)
 	c.fetching = true
@@ -476,9 +494,7 @@
 		r.GiveUp()
 		s.front.core.End(r.id, brain.TimedOut, nil, s.load())
 	})
-	if !r.job.over {
-		r.job.state, r.job.updated = working, time.Now()
-	}
+	r.job.state, r.job.updated = working, time.Now()
 	c.bulk(r.job.text)
 	c.next()
 }
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -58,14 +58,10 @@
 // Dial begins a connection. The handler is told when it is up; an error here
 // means that it never will be.
 func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
-	addr, err := sockaddr(address)
+	fd, addr, err := socket(address)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
 	if err = unix.Connect(fd, addr); err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd)
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -185,14 +185,10 @@
 // Listen accepts on the address, holding at most so many connections at a time:
 // further ones wait with the kernel until one has ended.
 func (l *Loop) Listen(address string, most int, accept func(*Conn)) (*Listener, error) {
-	addr, err := sockaddr(address)
+	fd, addr, err := socket(address)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
 	// A restart must not wait for the connections of the process before it.
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err == nil {
@@ -269,13 +265,18 @@
 	}
 }
 
-func sockaddr(address string) (unix.Sockaddr, error) {
+// socket makes a socket for the address, to be bound or connected.
+func socket(address string) (int, unix.Sockaddr, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return nil, fmt.Errorf("address %q: %w", address, err)
+		return -1, nil, fmt.Errorf("address %q: %w", address, err)
 	}
 	if !ap.Addr().Unmap().Is4() {
-		return nil, fmt.Errorf("address %q: only IPv4 is spoken", address)
+		return -1, nil, fmt.Errorf("address %q: only IPv4 is spoken", address)
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, nil, fmt.Errorf("socket: %w", err)
 	}
-	return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().Unmap().As4()}, nil
+	return fd, &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().Unmap().As4()}, nil
 }
