Hang up on a next hop that does not answer a job's giving up

Found by reading for what a vanished machine leaves behind: the DELETE of branch.GiveUp waited for its answer without a limit, so each job given up there kept a descriptor until the process ended. The call has a second now. TestTimeOut stays silent to the DELETE; without the change it waits in vain for the node to hang up, with it the node does. Branches end by the core's limit, probes by their own; both were looked at and are bound.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -88,6 +88,7 @@
 	hops    []*hop
 	mu      sync.Mutex
 	watches chan *watch // that discovery was asked for
+	left    chan bool   // where it is set, a DELETE is not answered; closed when the node hangs up
 }
 
 // seen is a call that a next hop got.
@@ -195,8 +196,12 @@
 		}
 	}
 	h.w.mu.Unlock()
-	if r.Method == "POST" {
+	switch {
+	case r.Method == "POST":
 		h.do(n, s, rw)
+	case h.w.left != nil: // be silent until the node hangs up
+		<-r.Context().Done()
+		close(h.w.left)
 	}
 }
 
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -175,6 +175,7 @@
 // A silent next hop: the answer comes when the client's time is up and the job is given up.
 func TestTimeOut(t *testing.T) {
 	w := newWorld(t, 1, func(_ int, _ seen, rw http.ResponseWriter) { rw.WriteHeader(202) })
+	w.left = make(chan bool)
 	began := time.Now()
 	w.dial().send(job("a/b", "book", "1000m", "x")).want(502, "")
 	if took := time.Since(began); took < 990*time.Millisecond || took > 1500*time.Millisecond {
@@ -184,6 +185,11 @@
 	if s := w.hops[0].got[1]; s.path != "/jobs/a%2Fb" {
 		t.Errorf("given up by %q", s.path)
 	}
+	select {
+	case <-w.left:
+	case <-time.After(limit):
+		t.Error("a next hop that says nothing to the DELETE holds its connection for ever")
+	}
 }
 
 // A client that leaves frees its request's ID; the node goes on.
--- a/internal/platform/nexthop.go
+++ b/internal/platform/nexthop.go
@@ -16,6 +16,9 @@
 // probing is how long a probe may take; what comes later tells of a load long past.
 const probing = 300 * time.Millisecond
 
+// calling is how long the answer to a job's giving up is waited for.
+const calling = time.Second
+
 // idleMost is how many idle connections are kept to one next hop.
 const idleMost = 16
 
@@ -228,7 +231,15 @@
 		return
 	}
 	request := net.AppendRequest(nil, "DELETE", "/jobs/"+url.PathEscape(b.job), b.hop.address, "", nil)
-	b.hop.send(request, func(*net.Message, []byte, bool) {})
+	answered := false
+	x := b.hop.send(request, func(*net.Message, []byte, bool) { answered = true })
+	// Hazard: jobs are given up at machines that have vanished, and each call would hold
+	// its connection for ever.
+	b.hop.front.loop.After(calling, func() {
+		if !answered {
+			x.close()
+		}
+	})
 }
 
 // Probe asks for the load report.
