Reload the configuration on SIGHUP: discovery moves while the node serves

Checked: main.go registered SIGTERM and SIGINT only. ReadConfig lets BALANCER_DISCOVERY come before the file, so a file read anew would still have given the old address. Ruled out: the watch's index; discovery is one service, and its first line makes up for what was missed.

Changed: signals are caught before anything else is done; SIGHUP reads the file, checks it as at the start and then moves the watch at once, from the last news on. A bad file is logged and changes nothing. The file's own change counts, not the environment. A watch under way is left alone when the module asks for one after a failure.

TestReload fails without it: the node dies on the signal.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -88,6 +89,8 @@
 	hops    []*hop
 	mu      sync.Mutex
 	watches chan *watch // that discovery was asked for
+	file    string      // the configuration
+	config  string      // what it holds
 	left    chan bool   // where it is set, a DELETE is not answered; closed when the node hangs up
 }
 
@@ -127,14 +130,15 @@
 	t.Cleanup(discovery.Close)
 	t.Cleanup(discovery.CloseClientConnections)
 	list := fmt.Sprintf(`{"generation":41,"reset":true,"instances":[%s]}`, strings.Join(known, ","))
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
+	address := strings.TrimPrefix(discovery.URL, "http://")
+	w.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, w.addr,
-		strings.TrimPrefix(discovery.URL, "http://"), list, testSettings)
-	file := filepath.Join(t.TempDir(), "config.json")
-	check(t, os.WriteFile(file, []byte(config), 0o600))
+		address, list, testSettings)
+	w.file = filepath.Join(t.TempDir(), "config.json")
+	check(t, os.WriteFile(w.file, []byte(w.config), 0o600))
 	w.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n ${FILES:-1024}; exec "$0" "$@"`,
 		program}, args...)...)
-	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+file)
+	w.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+w.file, "BALANCER_DISCOVERY="+address)
 	w.cmd.Stderr = os.Stderr
 	check(t, w.cmd.Start())
 	t.Cleanup(func() {
@@ -153,6 +157,13 @@
 	return w
 }
 
+// reload replaces the configuration and tells the node so.
+func (w *world) reload(config string) {
+	check(w.t, os.WriteFile(w.file+"~", []byte(config), 0o600))
+	check(w.t, os.Rename(w.file+"~", w.file))
+	check(w.t, w.cmd.Process.Signal(syscall.SIGHUP))
+}
+
 func (h *hop) line(lifecycle string) string {
 	cell := strings.TrimLeft(h.name[2:]+"1", "0") // a pod of its own
 	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":"k","cell":%s,`+
--- a/cmd/moorstack/main.go
+++ b/cmd/moorstack/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"os"
 	"os/signal"
@@ -38,13 +37,14 @@
 }
 
 func run(log *logrus.Logger) error {
+	// Hazard: a signal that nobody waits for yet ends the process. They wait here until
+	// the node can act on them.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := platform.ReadConfig()
 	if err != nil {
 		return err
 	}
-	if cfg.Limits.Sockets < 16 {
-		return errors.New("limits.sockets: a node needs 16 at least")
-	}
 	// One goroutine does all the work. The collector works harder before the
 	// memory limit, beyond which the node is killed, is near.
 	runtime.GOMAXPROCS(1)
@@ -75,11 +75,13 @@
 		}
 		drain = func(done func()) { second.Drain(func() { front.Drain(done) }) }
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		for range signals {
+		for sig := range signals {
 			loop.Post(func() {
+				if sig == syscall.SIGHUP {
+					front.Reload()
+					return
+				}
 				entry.Info("asked to end")
 				drain(loop.Stop)
 			})
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -258,6 +260,53 @@
 	}
 }
 
+// SIGHUP: discovery moves to where the file says, though the environment named the old
+// address, and goes on from the last news; what is under way stays. A bad file changes nothing.
+func TestReload(t *testing.T) {
+	w := newWorld(t, 2, func(_ int, s seen, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		time.AfterFunc(time.Second, func() { s.hop.w.callBack(s.id, s.hop.name, "done", "ok") })
+	})
+	watch := <-w.watches
+	watch.line <- `{"generation":43,"reset":false,"instances":[]}`
+	c := w.dial().send(job("a", "book", "4000m", "x"))
+	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
+	moved := httptest.NewServer(http.HandlerFunc(w.discovery))
+	t.Cleanup(moved.Close)
+	t.Cleanup(moved.CloseClientConnections)
+	before := regexp.MustCompile(`"discovery":"[^"]*"`)
+	to := func(address string) string {
+		return before.ReplaceAllString(w.config, fmt.Sprintf(`"discovery":%q`, address))
+	}
+	good := to(strings.TrimPrefix(moved.URL, "http://"))
+	for _, bad := range []string{"{", to("nowhere"), strings.Replace(good, "retryable", "no such", 1)} {
+		w.reload(bad)
+		select {
+		case <-w.watches:
+			t.Fatalf("a bad file was taken: %.40s", bad)
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	w.reload(good)
+	select {
+	case next := <-w.watches:
+		if next.path != "/catalog/members?stream=1&index=43" {
+			t.Errorf("watched by %q", next.path)
+		}
+		next.line <- `{"generation":44,"reset":true,"instances":[` + w.hops[0].line("SERVING") + "]}"
+	case <-time.After(limit):
+		t.Fatal("discovery's new address is not watched")
+	}
+	c.want(200, "ok")
+	n := w.hops[1].calls()
+	for i := range 4 {
+		w.dial().send(job(fmt.Sprint("r", i), "quote", "4000m", "x")).want(200, "ok")
+	}
+	if w.hops[1].calls() != n {
+		t.Error("the new address's list is not kept to")
+	}
+}
+
 // SIGTERM: what was taken is finished, new connections are served for a while.
 func TestTerm(t *testing.T) {
 	w := newWorld(t, 1, func(_ int, s seen, rw http.ResponseWriter) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -23,6 +24,8 @@
 	Limits    Limits            `json:"limits"`
 	Known     routeSet          `json:"known"`
 	Settings  settings.Settings `json:"settings"`
+
+	written string // the address of discovery that the file gave last
 }
 
 // Limits are what a node may use.
@@ -35,6 +38,22 @@
 // ReadConfig reads the file that BALANCER_CONFIG names. The other variables, where
 // they are set, come before what the file says.
 func ReadConfig() (*Config, error) {
+	c, err := readFile()
+	if err != nil {
+		return nil, err
+	}
+	c.written = c.Discovery
+	for name, to := range map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen,
+		"BALANCER_DISCOVERY": &c.Discovery} {
+		if v := os.Getenv(name); v != "" {
+			*to = v
+		}
+	}
+	return c, c.check()
+}
+
+// readFile reads the file as it stands.
+func readFile() (*Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("BALANCER_CONFIG is not set: it names the node's configuration")
@@ -47,15 +66,44 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("reading %s: %w", path, err)
 	}
-	for name, to := range map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen,
-		"BALANCER_DISCOVERY": &c.Discovery} {
-		if v := os.Getenv(name); v != "" {
-			*to = v
-		}
-	}
 	return c, nil
 }
 
+// check looks for what a node can't go on with.
+func (c *Config) check() error {
+	if c.Limits.Sockets < 16 {
+		return fmt.Errorf("limits.sockets: a node needs 16 at least")
+	}
+	if at, err := netip.ParseAddrPort(c.Discovery); err != nil || !at.Addr().Unmap().Is4() {
+		return fmt.Errorf("discovery: %q is not an IPv4 address and a port", c.Discovery)
+	}
+	_, err := c.Settings.Brain()
+	return err
+}
+
+// Reload reads the file anew and takes over the address of discovery, which is all
+// that a running node can change. A file that is no good changes nothing.
+//
+// Hazard: BALANCER_DISCOVERY comes first at the start, and would hide for ever what
+// the file says now. So a reload goes by whether the file itself has changed.
+func (f *Front) Reload() {
+	next, err := readFile()
+	if err == nil {
+		err = next.check()
+	}
+	if err != nil {
+		f.log.WithError(err).Error("the configuration stays as it was")
+		return
+	}
+	if next.Discovery == f.cfg.written {
+		f.log.Info("the configuration names no other discovery")
+		return
+	}
+	f.cfg.Discovery, f.cfg.written = next.Discovery, next.Discovery
+	f.log.WithField("discovery", f.cfg.Discovery).Info("discovery has moved")
+	f.dir.moved()
+}
+
 // SeedNumber is the seed as the module takes it.
 func (c *Config) SeedNumber() uint64 {
 	if n, err := strconv.ParseUint(c.Seed, 16, 64); err == nil {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -26,17 +26,38 @@
 type directory struct {
 	front      *Front
 	generation int64
+	wanted     bool // the core wants a watch
 	watch      *call
 }
 
-// Watch begins to watch, or stops. One that is under way is left for the new one.
+// Watch begins to watch, or stops. One that is under way goes on: the core may ask for
+// another after a failure that a move of discovery has mended meanwhile.
 func (d *directory) Watch(on bool) {
+	if d.wanted = on; on && d.watch == nil {
+		d.begin()
+	} else if !on {
+		d.end()
+	}
+}
+
+// begin takes up where the last news ended: what was told meanwhile comes first.
+func (d *directory) begin() {
+	d.watch = d.ask(fmt.Sprintf("%s?stream=1&index=%d", members, d.generation))
+}
+
+func (d *directory) end() {
 	if d.watch != nil {
 		d.watch.close()
 		d.watch = nil
 	}
-	if on {
-		d.watch = d.ask(fmt.Sprintf("%s?stream=1&index=%d", members, d.generation))
+}
+
+// moved leaves the old address at once, and does not wait for the core to ask again:
+// the old one closes its watches only after a while, and its news may end before.
+func (d *directory) moved() {
+	d.end()
+	if d.wanted {
+		d.begin()
 	}
 }
 
