Shed connections that are not worked on, so that bad clients keep nobody out

Past the cap loop.go's Listener left new ones waiting in the kernel, clients and call-backs alike. A probe found 57 MB in use on a node of 32 MB when 750 clients send half of a 60 KB body.

Changed, in internal/net for both fronts: a message must be whole 2.5 s after the connection, or after its first byte, but for one whose sender goes on sending; at the listener's limit of connections, or of buffered bytes, or out of descriptors, the least connection is ended: closing ones first, then those that never sent a whole message, then the one idle longest, never one that is worked on. After Finish no more than 256 KB are read. The platform's front closes after anything that is no job or call-back; idle connections to next hops are kept to an eighth of the descriptors.

TestCrowd, TestMemory (57 MB before) and TestFaktoryCrowd fail without it; TestSlowClient guards the slow client that is not bad.

--- a/cmd/moorstack/faktory_test.go
+++ b/cmd/moorstack/faktory_test.go
@@ -276,6 +276,30 @@
 	}
 }
 
+// Those who say nothing, or half a HELLO, are closed in time, and keep nobody out.
+func TestFaktoryCrowd(t *testing.T) {
+	t.Parallel()
+	w, addr := newFaktory(t, "connections = 20")
+	worker := enter(t, addr, "w")
+	began := time.Now()
+	for _, text := range []string{"", "HELLO {"} {
+		p := &peer{client: dial(t, addr)}
+		p.reply()
+		if _, err := p.send(text).r.ReadByte(); err != io.EOF || time.Since(began) > 3*time.Second {
+			t.Errorf("after %q: %v after %v", text, err, time.Since(began))
+		}
+		began = time.Now()
+	}
+	crowd := &world{t: t, addr: addr}
+	crowd.crowd(60, "HELLO {")
+	p := enter(t, addr, "")
+	crowd.crowd(60, "")
+	worker.listed("default") // a worker's connection is never shed
+	p.must(push("job-0001", "Resize", ""), "+OK")
+	worker.wantJob("job-0001")
+	w.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(503, "")
+}
+
 // A job's deadline ends it, whether or not a worker has it.
 func TestFaktoryDeadline(t *testing.T) {
 	_, addr := newFaktory(t, "")
--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -132,8 +133,8 @@
 	list := fmt.Sprintf(`{"generation":41,"reset":true,"instances":[%s]}`, strings.Join(known, ","))
 	address := strings.TrimPrefix(discovery.URL, "http://")
 	w.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
-		`"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, w.addr,
-		address, list, testSettings)
+		`"memory_mb":%s,"sockets":%s},"known":%s,"settings":%s}`, w.addr, address,
+		cmp.Or(os.Getenv("MEMORY"), "192"), cmp.Or(os.Getenv("SOCKETS"), "1024"), list, testSettings)
 	w.file = filepath.Join(t.TempDir(), "config.json")
 	check(t, os.WriteFile(w.file, []byte(w.config), 0o600))
 	w.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n ${FILES:-1024}; exec "$0" "$@"`,
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"regexp"
 	"strings"
 	"syscall"
@@ -346,3 +349,73 @@
 	waiting.want(200, "")
 	c.send(job("b", "quote", "3000m", "x")).want(200, "")
 }
+
+// crowd opens connections, sends something on each and leaves them open.
+func (w *world) crowd(n int, text string) {
+	for range n {
+		c, err := net.Dial("tcp", w.addr)
+		check(w.t, err)
+		w.t.Cleanup(func() { c.Close() })
+		// The node may have shed it already.
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+// Those who open connections and say nothing, stop half-way, or ask once and stay, keep
+// neither clients nor call-backs out, and are closed in time.
+func TestCrowd(t *testing.T) {
+	t.Setenv("SOCKETS", "64")
+	w := newWorld(t, 1, done)
+	c := w.dial().send(job("a", "quote", "3000m", "x"))
+	c.want(200, "did x")
+	half := job("h", "quote", "3000m", "x")[:100]
+	began := time.Now()
+	bad := map[string]*client{"silent": w.dial(), "half a request": w.dial().send(half)}
+	for name, b := range bad {
+		if _, err := b.r.ReadByte(); err != io.EOF || time.Since(began) > 3*time.Second {
+			t.Errorf("%s: %v after %v", name, err, time.Since(began))
+		}
+	}
+	for i, text := range []string{"", half, "GET /_health HTTP/1.1\r\n\r\n", "nonsense\r\n\r\n",
+		strings.Replace(half, "h", "a", 1), job("z", "nothing", "3000m", "x")} {
+		w.crowd(100, text)
+		began := time.Now()
+		w.dial().send(job(fmt.Sprint("b", i), "quote", "3000m", "x")).want(200, "did x")
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("beside a crowd that says %.10q a job took %v", text, took)
+		}
+	}
+	c.send(job("c", "quote", "3000m", "x")).want(200, "did x") // idle all the while, and no bad client
+}
+
+// A client that is slow but goes on is served, whether it is its first request or a later one.
+func TestSlowClient(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, done)
+	c := w.dial()
+	for _, id := range []string{"a", "b"} {
+		for text := job(id, "quote", "3000m", "x"); text != ""; time.Sleep(400 * time.Millisecond) {
+			n := min(len(text), 25)
+			c.send(text[:n])
+			text = text[n:]
+		}
+		c.want(200, "did x")
+	}
+}
+
+// Half-sent bodies on all the connections there may be are more than the node's memory.
+func TestMemory(t *testing.T) {
+	t.Setenv("MEMORY", "32")
+	w := newWorld(t, 1, done)
+	large := strings.Repeat("x", 60<<10)
+	w.crowd(750, strings.TrimSuffix(job("h", "quote", "3000m", large), "x"))
+	w.dial().send(job("a", "quote", "3000m", large)).want(200, "did "+large)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
+	check(t, err)
+	var most int
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	_, err = fmt.Sscan(after, &most)
+	if check(t, err); most > 32<<10 {
+		t.Errorf("the node took %d KB of 32 MB", most)
+	}
+}
--- a/internal/faktory/conn.go
+++ b/internal/faktory/conn.go
@@ -19,8 +19,6 @@
 const (
 	// patience is how long a FETCH waits for a job, as the protocol says.
 	patience = 2 * time.Second
-	// greeting is how long a new connection may take to say HELLO.
-	greeting = 5 * time.Second
 	// version is the protocol's.
 	version = 2
 	// rounds is how often the password is hashed.
@@ -52,7 +50,6 @@
 	}
 	text, _ := json.Marshal(hi) // of a map of plain values it can't fail
 	c.reply("+HI " + string(text) + "\r\n")
-	c.timer = f.loop.After(greeting, func() { c.hangUp("say HELLO first") })
 }
 
 func (c *conn) reply(text string) { c.conn.Write([]byte(text)) }
@@ -114,7 +111,12 @@
 		line := append([]byte(nil), bytes.TrimRight(in[:n], "\r")...)
 		c.scanned = 0
 		c.conn.Use(n + 1)
+		c.conn.Taken()
 		c.command(line)
+		// A worker's connection is never shed: its jobs would be lost.
+		if c.session == nil && !c.conn.Finished() {
+			c.conn.Idle()
+		}
 	}
 }
 
@@ -129,7 +131,6 @@
 			c.hangUp(err.Error())
 		} else {
 			c.greeted = true
-			c.timer.Stop()
 			c.reply("+OK\r\n")
 		}
 		return
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -59,7 +59,11 @@
 	f.core = c
 	f.core.RouteSet(brain.Whole, nil)
 	var err error
-	f.listener, err = f.loop.Listen(f.cfg.Listen, f.cfg.Connections, f.accept)
+	// Input that waits may take a quarter as much as the jobs held, or else a little for
+	// each connection and a few long lines.
+	limits := net.Limits{Connections: f.cfg.Connections,
+		Bytes: max(f.cfg.Bytes/4, f.cfg.Connections<<12+4*f.cfg.LineBytes)}
+	f.listener, err = f.loop.Listen(f.cfg.Listen, limits, f.accept)
 	return err
 }
 
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,8 +26,37 @@
 // roomy is the size of buffer that an idle connection may keep.
 const roomy = 16 << 10
 
-// lingering is how long a peer may take to close after us.
-const lingering = time.Second
+// lingering is how long a peer may take to close after us, and unwanted how much it
+// may send meanwhile. Hazard: some send on for ever; to read it all costs the CPU of others.
+const (
+	lingering = time.Second
+	unwanted  = 256 << 10
+)
+
+// A peer that connects, or begins a message, must send it whole. Hazard: connections
+// that say nothing, or stop half-way, hold the descriptors that others need. One that
+// is slow but goes on sending is let go on.
+const (
+	wholeBy = 2500 * time.Millisecond // from its connecting, or its first byte
+	stalled = time.Second             // but while something comes this often
+	slowest = 20 * time.Second        // at most this
+)
+
+// Why a listener's connection was ended by us.
+var (
+	errSlow = errors.New("the message did not come whole in time")
+	errShed = errors.New("others need the room")
+)
+
+// standing is what a connection is to its listener. The lowest are shed first.
+type standing uint8
+
+const (
+	leaving  standing = iota // Finish was called
+	unproven                 // has not sent a whole message yet
+	idle                     // between two messages
+	taken                    // its message is being worked on; never shed
+)
 
 // Conn is a connection with one buffer, which grows as it needs and is compacted
 // in place: unread input first, then output that the kernel has not taken yet.
@@ -41,9 +71,16 @@
 	buf  []byte
 	mid  int // input is buf[:mid], output is buf[mid:]
 
+	standing standing
+	began    time.Duration // when it connected, or its message began
+	heard    time.Duration // when something came last, or its last message was done with
+	timer    *Timer        // by which the message must be whole
+	counted  int           // what the listener counts for its buffer
+
 	connecting, closed, closing bool
 	events                      uint32
 	lost                        int // output that the kernel had not taken at the end
+	ignored                     int // input that came after Finish
 }
 
 func (l *Loop) adopt(fd int, connecting bool) (*Conn, error) {
@@ -59,6 +96,9 @@
 // means that it never will be.
 func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
 	fd, addr, err := socket(address)
+	if scarce(err) && slices.ContainsFunc(l.inlets, func(ln *Listener) bool { return ln.shed(nil) }) {
+		fd, addr, err = socket(address) // what goes out must not wait for who comes in
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -84,10 +124,57 @@
 	c.mid -= n
 	if len(c.buf) == 0 && cap(c.buf) > roomy {
 		c.buf = nil // hundreds of idle connections must not keep the room of their largest message
+		c.count()
 	}
 	c.update()
 }
 
+// Taken says that a whole message has come and is worked on.
+func (c *Conn) Taken() {
+	c.standing = taken
+	c.timer.Stop()
+	c.timer = nil
+}
+
+// Idle says that the message is done with: the connection may be shed from here on.
+func (c *Conn) Idle() {
+	if c.standing = idle; c.closing {
+		c.standing = leaving
+	}
+	c.heard = c.loop.Now()
+	if c.mid > 0 {
+		c.mind()
+	}
+	if c.from != nil {
+		c.from.pause(false) // it can be shed now for one that waits
+	}
+}
+
+// mind sets the time by which the message that begins now must be whole.
+func (c *Conn) mind() {
+	if c.from != nil && c.timer == nil && !c.closed {
+		c.began = c.loop.Now()
+		c.timer = c.loop.At(c.began+wholeBy, c.overdue)
+	}
+}
+
+func (c *Conn) overdue() {
+	at := min(c.heard+stalled, c.began+slowest)
+	if c.loop.Now() < at {
+		c.timer = c.loop.At(at, c.overdue)
+		return
+	}
+	c.end(errSlow)
+}
+
+// count keeps the listener's count of the room that its connections take.
+func (c *Conn) count() {
+	if c.from != nil {
+		c.from.held += cap(c.buf) - c.counted
+		c.counted = cap(c.buf)
+	}
+}
+
 // Unsent is how many bytes the kernel has not taken yet.
 func (c *Conn) Unsent() int {
 	if c.closed {
@@ -121,6 +208,7 @@
 		p = p[max(n, 0):]
 	}
 	c.buf = append(c.buf, p...)
+	c.count()
 	c.update()
 }
 
@@ -144,8 +232,10 @@
 	c.lost, c.closed = c.Unsent(), true
 	c.loop.sources.Remove(c.id)
 	unix.Close(c.fd) // leaves the epoll set, too
+	c.timer.Stop()
 	if ln := c.from; ln != nil {
 		ln.open--
+		ln.held -= c.counted
 		ln.pause(false)
 	}
 }
@@ -153,7 +243,8 @@
 // Finish ends the connection once its output is sent: writing first, so that
 // input which has not been read does not make the kernel drop the answer.
 func (c *Conn) Finish() {
-	c.closing = true
+	c.closing, c.standing = true, leaving
+	c.timer.Stop()
 	c.Use(c.mid)
 	if c.Unsent() == 0 && !c.closed {
 		c.linger()
@@ -225,7 +316,13 @@
 
 func (c *Conn) read() {
 	if cap(c.buf)-c.mid < 1024 {
-		c.buf = append(make([]byte, 0, max(2048, 2*cap(c.buf))), c.buf...)
+		room := max(2048, 2*cap(c.buf))
+		if c.from != nil && !c.from.fit(room-cap(c.buf), c) {
+			c.end(errShed)
+			return
+		}
+		c.buf = append(make([]byte, 0, room), c.buf...)
+		c.count()
 	}
 	n, err := unix.Read(c.fd, c.buf[c.mid:min(cap(c.buf), most+1024)])
 	switch {
@@ -236,9 +333,16 @@
 	case n == 0:
 		c.end(io.EOF)
 	case c.closing: // what still comes is not wanted
+		if c.ignored += n; c.ignored > unwanted {
+			c.Close()
+		}
 	default:
 		c.mid += n
 		c.buf = c.buf[:c.mid]
+		c.heard = c.loop.Now()
+		if c.standing == idle {
+			c.mind()
+		}
 		c.update()
 		c.H.Data(c)
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -59,6 +59,7 @@
 	started  time.Time
 	origin   time.Duration
 	stopped  bool
+	inlets   []*Listener
 
 	mu     sync.Mutex
 	posted []func()
@@ -171,20 +172,27 @@
 	return id, nil
 }
 
+// Limits are what a listener's connections may take together.
+type Limits struct {
+	Connections int // held at a time
+	Bytes       int // of their buffers
+}
+
 // Listener accepts connections.
 type Listener struct {
 	loop   *Loop
 	fd     int
 	id     slots.ID
-	most   int // connections held at a time
+	limits Limits
 	open   int
+	held   int // bytes
 	paused bool
 	accept func(*Conn)
 }
 
-// Listen accepts on the address, holding at most so many connections at a time:
-// further ones wait with the kernel until one has ended.
-func (l *Loop) Listen(address string, most int, accept func(*Conn)) (*Listener, error) {
+// Listen accepts on the address. At a limit, a connection that is not worked on is shed
+// for the new one; while there is none, further ones wait with the kernel.
+func (l *Loop) Listen(address string, limits Limits, accept func(*Conn)) (*Listener, error) {
 	fd, addr, err := socket(address)
 	if err != nil {
 		return nil, err
@@ -197,7 +205,7 @@
 	if err == nil {
 		err = unix.Listen(fd, 1024)
 	}
-	ln := &Listener{loop: l, fd: fd, most: most, accept: accept}
+	ln := &Listener{loop: l, fd: fd, limits: limits, accept: accept}
 	if err == nil {
 		ln.id, err = l.watch(fd, unix.EPOLLIN, ln)
 	}
@@ -205,16 +213,59 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("listening on %s: %w", address, err)
 	}
+	l.inlets = append(l.inlets, ln)
 	return ln, nil
 }
 
-// Open is the number of connections held; Crowded says that few more can be.
-func (ln *Listener) Open() int     { return ln.open }
-func (ln *Listener) Crowded() bool { return ln.open > ln.most*3/4 }
+// Open is the number of connections held.
+func (ln *Listener) Open() int { return ln.open }
+
+// least is the connection that is worth least: of the lowest standing, the one that has
+// been quiet longest. It is nil if all are worked on.
+//
+// Hazard: those who open connections and say nothing, or ask once and stay, keep out
+// clients and the next hops' call-backs.
+func (ln *Listener) least(but *Conn) (least *Conn) {
+	now := ln.loop.Now()
+	for _, s := range ln.loop.sources.All {
+		c, ok := s.(*Conn)
+		if !ok || c.from != ln || c == but || c.standing == taken {
+			continue
+		}
+		if c.Unsent() > 0 && now-c.heard < slowest {
+			continue // an answer is on its way
+		}
+		if least == nil || c.standing < least.standing ||
+			c.standing == least.standing && c.heard < least.heard {
+			least = c
+		}
+	}
+	return least
+}
+
+// shed ends the least connection and reports whether there was one.
+func (ln *Listener) shed(but *Conn) bool {
+	c := ln.least(but)
+	if c != nil {
+		c.end(errShed)
+	}
+	return c != nil
+}
+
+// fit makes room for so many bytes, if need be at the cost of other connections.
+func (ln *Listener) fit(bytes int, but *Conn) bool {
+	for ln.held+bytes > ln.limits.Bytes {
+		if !ln.shed(but) {
+			return false
+		}
+	}
+	return true
+}
 
 func (ln *Listener) ready(uint32) {
 	for range 64 { // then others have their turn
-		if ln.open >= ln.most {
+		full := ln.open >= ln.limits.Connections
+		if full && ln.least(nil) == nil {
 			ln.pause(true)
 			return
 		}
@@ -223,10 +274,12 @@
 		case err == nil:
 		case errors.Is(err, unix.EAGAIN):
 			return
-		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS),
-			errors.Is(err, unix.ENOMEM):
-			// Out of descriptors: the level-triggered event would spin the loop. The
-			// connection waits with the kernel; look again when some may be free.
+		case scarce(err):
+			if ln.shed(nil) {
+				continue
+			}
+			// The level-triggered event would spin the loop. The connection waits with the
+			// kernel; look again when some descriptors may be free.
 			ln.pause(true)
 			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
 			return
@@ -238,12 +291,22 @@
 			unix.Close(fd)
 			continue
 		}
+		if full {
+			ln.shed(c)
+		}
 		ln.open++
-		c.from = ln
+		c.from, c.standing, c.heard = ln, unproven, ln.loop.Now()
+		c.mind()
 		ln.accept(c)
 	}
 }
 
+// scarce says that descriptors, or the kernel's memory, have run out.
+func scarce(err error) bool {
+	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
+		errors.Is(err, unix.ENOMEM)
+}
+
 func (ln *Listener) pause(on bool) {
 	if ln.paused == on || ln.fd < 0 {
 		return
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -19,8 +20,6 @@
 	ready    = "/_health"
 	callBack = "/v1/job-events"
 
-	// slowest is how long a client may take over sending one request.
-	slowest = 20 * time.Second
 	// notice is how long after SIGTERM new connections still come; see PROTOCOL.
 	notice = 500 * time.Millisecond
 )
@@ -55,9 +54,13 @@
 func (f *Front) Open(c *core.Core) error {
 	f.core = c
 	f.tell(brain.Cached, &f.cfg.Known)
-	// A quarter of the descriptors is kept for branches, probes and discovery.
+	// A quarter of the descriptors is kept for branches, probes and discovery. A quarter
+	// of the memory may hold what has come in; results, the jobs under way and the
+	// collector's slack need the rest.
+	most := f.cfg.Limits
+	limits := net.Limits{Connections: most.Sockets * 3 / 4, Bytes: int(most.MemoryMB << 20 / 4)}
 	var err error
-	f.listener, err = f.loop.Listen(f.cfg.Listen, f.cfg.Limits.Sockets*3/4, f.accept)
+	f.listener, err = f.loop.Listen(f.cfg.Listen, limits, f.accept)
 	return err
 }
 
@@ -103,8 +106,7 @@
 	front *Front
 	conn  *net.Conn
 	in    net.Parser
-	timer *net.Timer // for a request that comes slowly
-	id    string     // of the transaction it waits for
+	id    string // of the transaction it waits for
 	waits bool
 	last  bool // the connection closes after this answer
 	asked bool // a 100 has been sent for the request being read
@@ -132,9 +134,8 @@
 			c.partial()
 			return
 		}
-		c.timer.Stop()
-		c.timer = nil
-		c.last = c.in.Close || c.front.draining || c.front.listener.Crowded()
+		c.conn.Taken()
+		c.last = c.in.Close || c.front.draining
 		m, body := c.in.Message, append([]byte(nil), c.in.Body(c.conn.In())...)
 		c.conn.Use(c.in.Size())
 		c.in.Next()
@@ -143,14 +144,8 @@
 	}
 }
 
-// partial minds a request that has not come whole.
+// partial asks for the body of a request that has not come whole, if its sender waits.
 func (c *client) partial() {
-	if c.timer == nil {
-		c.timer = c.front.loop.After(slowest, func() {
-			c.conn.Close()
-			c.gone()
-		})
-	}
 	if c.in.HeadDone() && c.in.Expects && !c.asked {
 		c.asked = true
 		c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -163,6 +158,12 @@
 	if b, ok := err.(*net.BadMessage); ok {
 		status = b.Status
 	}
+	c.reject(status, err)
+}
+
+// reject answers what is no job of ours, and ends the connection. Hazard: who sends
+// such things asks again at once, or stays and holds a descriptor.
+func (c *client) reject(status int, err error) {
 	c.last = true
 	c.respond(status, "", []byte(err.Error()+"\n"))
 }
@@ -172,7 +173,9 @@
 	if c.last {
 		c.conn.Finish()
 		c.gone()
+		return
 	}
+	c.conn.Idle()
 }
 
 func (c *client) handle(m *net.Message, body []byte) {
@@ -183,6 +186,7 @@
 		// Whatever it names, it has been heard: else it would be repeated.
 		c.respond(204, "", nil)
 	case path == ready && m.Method == "GET":
+		c.last = true // it is asked seldom, but for those who mean to stay
 		if c.front.draining || !c.front.core.Ready() {
 			c.respond(503, "Retry-After: 1\r\n", nil)
 		} else {
@@ -191,10 +195,12 @@
 	case m.Method == "POST":
 		c.begin(m, body)
 	default:
-		c.respond(404, "", nil)
+		c.reject(404, errNothing)
 	}
 }
 
+var errNothing = errors.New("there is nothing here")
+
 // job is a client's request as it is passed on.
 type job struct {
 	target, key string
@@ -214,7 +220,7 @@
 	if err == core.ErrKnown {
 		status = 409
 	}
-	c.respond(status, "", []byte(err.Error()+"\n"))
+	c.reject(status, err)
 }
 
 // transaction reads what the headers say of a job.
@@ -321,7 +327,6 @@
 }
 
 func (c *client) gone() {
-	c.timer.Stop()
 	delete(c.front.clients, c)
 }
 
--- a/internal/platform/nexthop.go
+++ b/internal/platform/nexthop.go
@@ -19,9 +19,18 @@
 // calling is how long the answer to a job's giving up is waited for.
 const calling = time.Second
 
-// idleMost is how many idle connections are kept to one next hop.
+// idleMost is how many idle connections are kept to one next hop. To all of them, an
+// eighth of the descriptors: half of what is not for who comes in.
 const idleMost = 16
 
+func (f *Front) idleRoom() bool {
+	n := 0
+	for _, h := range f.hops {
+		n += len(h.idle)
+	}
+	return n < f.cfg.Limits.Sockets/8
+}
+
 // nextHop is a trip worker: its address here, and the idle connections to it.
 type nextHop struct {
 	front   *Front
@@ -120,7 +129,8 @@
 	done := x.done
 	x.done = nil
 	listed := x.hop.front.hops[x.hop.name] == x.hop && x.hop.address == x.address
-	if m.Close || !listed || len(x.conn.In()) > 0 || len(x.hop.idle) >= idleMost {
+	if m.Close || !listed || len(x.conn.In()) > 0 || len(x.hop.idle) >= idleMost ||
+		!x.hop.front.idleRoom() {
 		x.close()
 	} else {
 		x.hop.idle = append(x.hop.idle, x)
