Give up the jobs of clients that have left, and what is left of an answered job

Checked: state.go's Gone marked the request as over and left its attempts out; they ended by their call-back, or by a DELETE when the client's time would have been up. Nothing in brain called Actions.Cancel at all.

Changed: Gone, and an Outcome that settles a request with another copy out, cancel what is out, once, where the settings allow it. A streamed answer is not touched by this.

TestStopsWhatNobodyWaitsFor and TestClientGone (1.5 s before) fail without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -569,6 +569,17 @@
 	b.forget(q)
 }
 
+// stop gives up what is still out of a request that is over, as far as that is allowed.
+//
+// Hazard: jobs whose clients have left, and the slower of two copies, take the room of others.
+func (b *Balancer) stop(q *request) {
+	for i := range q.tries {
+		if !q.tries[i].ended && b.set.Limits.Cancel {
+			b.act.Cancel(q.ID, i)
+		}
+	}
+}
+
 // refusable reports whether telling the client that another try is harmless is true.
 func (b *Balancer) refusable(q *request) bool {
 	c := &b.set.Classes[q.Class]
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -988,6 +988,34 @@
 	}
 }
 
+// Nobody waits for what a client that has left had asked for, nor for a second copy of
+// what is answered: both are given up, once, where the deployment lets us.
+func TestStopsWhatNobodyWaitsFor(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		set := testSettings()
+		set.TellsStart, set.Limits.SecondCopies, set.Limits.Cancel = true, true, allowed
+		r := newRecorder(t, set)
+		r.members(Whole, fleet(4)...)
+		r.request(job(0, safeClass))
+		r.pass(time.Second) // a second copy goes out
+		if len(r.sends) != 2 {
+			t.Fatalf("%d copies are out, want 2", len(r.sends))
+		}
+		r.end(&r.sends[1], OK)
+		r.request(job(1, safeClass))
+		r.b.Gone(r.now, "r1")
+		r.reqs["r1"].final = "gone"
+		r.b.Gone(r.now, "r1")
+		want := []string{"r0/0", "r1/0"}
+		if !allowed {
+			want = nil
+		}
+		if !slices.Equal(r.cancels, want) {
+			t.Errorf("gave up %v, want %v", r.cancels, want)
+		}
+	}
+}
+
 // A request that ends while it waits for loads is forgotten, and its place is not used by another too early.
 func TestGoneWhileAsking(t *testing.T) {
 	set := testSettings()
--- a/brain/recorder_test.go
+++ b/brain/recorder_test.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -8,20 +9,21 @@
 // recorder stands in for the host. It asserts the four rules on every action,
 // from what it has told the balancer alone.
 type recorder struct {
-	t      *testing.T
-	b      *Balancer
-	set    Settings
-	now    time.Duration
-	reqs   map[RequestID]*recReq
-	work   map[WorkerID]*recWorker
-	sends  []recSend // in order, those still out and ended
-	timer  []recTimer
-	watch  int
-	asked  []WorkerID
-	waits  []time.Duration // the retry-afters of refusals
-	logs   []string
-	tells  [][]byte // what peers were told
-	silent bool     // no attempt's end is told
+	t       *testing.T
+	b       *Balancer
+	set     Settings
+	now     time.Duration
+	reqs    map[RequestID]*recReq
+	work    map[WorkerID]*recWorker
+	sends   []recSend // in order, those still out and ended
+	timer   []recTimer
+	watch   int
+	asked   []WorkerID
+	waits   []time.Duration // the retry-afters of refusals
+	logs    []string
+	cancels []string // of what attempts: ID/number
+	tells   [][]byte // what peers were told
+	silent  bool     // no attempt's end is told
 
 	taken, further []time.Duration // requests, and attempts beyond a request's first
 }
@@ -341,6 +343,7 @@
 	if q := r.reqs[id]; q == nil || attempt < 0 || attempt >= len(q.sends) || !r.set.Limits.Cancel {
 		r.t.Fatalf("Cancel(%s, %d): not allowed", id, attempt)
 	}
+	r.cancels = append(r.cancels, fmt.Sprint(id, "/", attempt))
 }
 
 // Probe checks that probes are allowed.
--- a/brain/state.go
+++ b/brain/state.go
@@ -208,7 +208,10 @@
 	q.out--
 	b.learn(now, q, t, &o)
 	t.w.own -= q.size()
-	q.over = q.over || o.Settled
+	if o.Settled && !q.over {
+		q.over = true
+		b.stop(q)
+	}
 	if q.over || q.out > 0 {
 		b.forget(q)
 		return
@@ -279,12 +282,18 @@
 
 // Streaming takes the start of a streamed answer: the client owns the attempt from now on, and the
 // request is over as if it had left.
-func (b *Balancer) Streaming(now time.Duration, id RequestID, attempt int) { b.Gone(now, id) }
+func (b *Balancer) Streaming(now time.Duration, id RequestID, attempt int) {
+	if q := b.open[id]; q != nil {
+		q.over = true
+		b.forget(q)
+	}
+}
 
 // Gone takes the end of a request whose client has left.
 func (b *Balancer) Gone(now time.Duration, id RequestID) {
-	if q := b.open[id]; q != nil {
+	if q := b.open[id]; q != nil && !q.over {
 		q.over = true
+		b.stop(q)
 		b.forget(q)
 	}
 }
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -268,8 +268,12 @@
 	c := w.dial().send(job("a", "quote", "1500m", "x"))
 	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
 	w.dial().send(job("a", "quote", "1500m", "x")).want(409, "")
+	began := time.Now()
 	c.Close()
-	eventually(t, "the branch is given up at its limit", func() bool { return w.calls("DELETE") == 1 })
+	eventually(t, "the branch is given up", func() bool { return w.calls("DELETE") == 1 })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("a job whose client has left was given up after %v", took)
+	}
 	w.dial().send(job("a", "quote", "1500m", "x")).want(200, "ok")
 }
 
