End a job that a worker answers 4xx, and do not hold it against the worker

Checked: nexthop.go's resultOf made every status but the table's an Error; learn() counts 0.3 of an illness for each, and 0.25 leaves a worker out of the draw. Five workers were left out for 0.6 s by one request. Ruled out: 503 with X-Not-Processed, which ends as Full and is not held against anybody.

Changed: the module has a result Rejected, for 4xx but 408 and 429: no further worker is tried, nobody is ill, and the answer is a failure, since to come again is no use. It does not prove that the job never ran.

TestRejectedJob and TestRejected fail without it.

--- a/brain/api.go
+++ b/brain/api.go
@@ -198,6 +198,7 @@
 	Reset                // the connection broke; may have run
 	Cancelled            // may have run
 	Moot                 // never sent
+	Rejected             // the worker can't make sense of the job; any other would say the same
 )
 
 // Unrun reports whether the result proves that the job never ran, where Full proves it.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -556,16 +556,24 @@
 	return r.Unrun() && !(r == Full && b.set.Rules.FullUnproven)
 }
 
-// answer is the one place that gives a final answer: a refusal where the effect allows, or a failure.
+// answer gives the final answer of a job that nobody serves: a refusal where the effect allows, or a failure.
 func (b *Balancer) answer(q *request) {
-	q.over = true
-	if b.refusable(q) {
-		b.refused++
-		b.act.Refuse(q.ID, b.spread(b.set.Limits.MaxRetryAfter/8))
-	} else {
-		b.failed++
-		b.act.Fail(q.ID)
+	if !b.refusable(q) {
+		b.fail(q)
+		return
 	}
+	q.over = true
+	b.refused++
+	b.act.Refuse(q.ID, b.spread(b.set.Limits.MaxRetryAfter/8))
+	b.forget(q)
+}
+
+// fail gives the final answer that promises nothing. Hazard: a job that workers can't read is sent to one
+// after the other, all of which then count as ill, and its client is told to come again.
+func (b *Balancer) fail(q *request) {
+	q.over = true
+	b.failed++
+	b.act.Fail(q.ID)
 	b.forget(q)
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1016,6 +1016,24 @@
 	}
 }
 
+// A job that a worker can't make sense of goes to no other, and the worker is as well as before.
+func TestRejectedJob(t *testing.T) {
+	for class := range testSettings().Classes {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		r.request(job(0, class))
+		r.end(r.last(), Rejected)
+		if q := r.reqs["r0"]; q.final != "failed" || len(r.sends) != 1 {
+			t.Errorf("class %d: %q after %d sends, want failed after 1", class, q.final, len(r.sends))
+		}
+		for _, w := range r.b.workers {
+			if w.ill != 0 || w.own != 0 {
+				t.Errorf("class %d: worker %d is ill by %v and holds %v", class, w.ID, w.ill, w.own)
+			}
+		}
+	}
+}
+
 // A request that ends while it waits for loads is forgotten, and its place is not used by another too early.
 func TestGoneWhileAsking(t *testing.T) {
 	set := testSettings()
--- a/brain/state.go
+++ b/brain/state.go
@@ -216,6 +216,10 @@
 		b.forget(q)
 		return
 	}
+	if o.Result == Rejected {
+		b.fail(q)
+		return
+	}
 	b.place(now, q)
 }
 
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -181,6 +181,24 @@
 	}
 }
 
+// A job that next hops can't use is tried at one, and the others' jobs go on.
+func TestRejected(t *testing.T) {
+	w := newWorld(t, 3, func(_ int, s seen, rw http.ResponseWriter) {
+		if s.body == "bad" {
+			rw.WriteHeader(400)
+			return
+		}
+		accept(s, rw, "done")
+	})
+	for i, class := range []string{"quote", "book"} {
+		w.dial().send(job(fmt.Sprint("bad", i), class, "3000m", "bad")).want(502, "")
+		if n := w.calls("POST"); n != 2*i+1 {
+			t.Errorf("after the bad %s job %d attempts, want %d", class, n, 2*i+1)
+		}
+		w.dial().send(job(fmt.Sprint("good", i), class, "3000m", "x")).want(200, "did x")
+	}
+}
+
 // A connection that is refused proves that nothing ran.
 func TestUnreachable(t *testing.T) {
 	w := newWorld(t, 2, done)
--- a/internal/platform/nexthop.go
+++ b/internal/platform/nexthop.go
@@ -278,6 +278,8 @@
 		return brain.Reset
 	case (m.Status == 503 || m.Status == 504) && m.Get("X-Not-Processed") == "1":
 		return brain.Full
+	case m.Status >= 400 && m.Status < 500 && m.Status != 408 && m.Status != 429:
+		return brain.Rejected // it says that the job is at fault, not the next hop
 	}
 	return brain.Error
 }
