Send a lost job again though it is late, where there is room, instead of failing it

Ruled out: the pod's window, the number of attempts, the deadline (3 to 14 s left).

Changed: a job whose aim is past, but which can be done before its client gives up, has the rank of its late share and so gives way to all that can be in time.

TestLateJobGoesOn fails without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -308,7 +308,7 @@
 //
 // Hazard: load above capacity, which the paper leaves out: every answer is late and work is wasted.
 // A class waits up to the least aim of those worth more, and the square of its rank among them of
-// that: the worthier keep room.
+// that: the worthier keep room. A job that is late already has the rank of what it may still earn.
 func (b *Balancer) worthIt(now time.Duration, q *request, w *worker) bool {
 	wait := b.waitAt(now, w)
 	if q.excess && b.crowd > slow {
@@ -317,9 +317,15 @@
 	if usual := b.usualWait(now); (now - w.waitT).Seconds() > usual {
 		wait = max(wait, usual) // hazard: one of many meets each worker too seldom to know its queue
 	}
-	most := b.slack(now, q.Class, w) - (now - q.came).Seconds()
+	slack := b.slack(now, q.Class, w)
+	most := slack - (now - q.came).Seconds()
 	values := b.rate()
 	value, less := values[q.Class], 1.0
+	if most < 0 && wait+b.expect(q)*b.paceOf(now, w) < (q.deadline-now).Seconds() {
+		// Hazard: what a dying worker loses is late by then, and failing it earns nothing. It counts for
+		// what a late answer earns, and so gives way to all others.
+		most, value = slack, value*b.set.Classes[q.Class].LateShare
+	}
 	if q.excess {
 		// Hazard: what one tenant sends beyond its share takes the room of all others.
 		value, less = value*b.set.OverShare, 0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1016,6 +1016,31 @@
 	}
 }
 
+// A job that is lost when its aim is past goes out again where there is room, and gives way where there is
+// none: a late answer earns less than others' jobs, but more than a failure.
+func TestLateJobGoesOn(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		set := testSettings()
+		set.Limits.Attempts = 5
+		r := newRecorder(t, set)
+		r.members(Whole, fleet(2)...) // of one cell
+		r.serve(0, 20, keyedClass, 100*time.Millisecond, NoReport)
+		r.request(job(100, keyedClass))
+		lost := len(r.sends) - 1
+		r.pass(1500 * time.Millisecond) // the aim is 0.2 s and twice the running time
+		if busy {
+			for _, w := range r.b.workers {
+				w.others = 10
+			}
+		}
+		r.end(&r.sends[lost], Reset)
+		again := len(r.sends) == lost+2
+		if final := r.reqs["r100"].final; again == busy || busy != (final == "failed") {
+			t.Errorf("busy %v: sent again %v, final answer %q", busy, again, final)
+		}
+	}
+}
+
 // A job that a worker can't make sense of goes to no other, and the worker is as well as before.
 func TestRejectedJob(t *testing.T) {
 	for class := range testSettings().Classes {
