Fit the Faktory front's limits to the node, and free descriptors wherever they can be

Seen, while writing down the limits: deploy/faktory.toml allows 256 connections and 32 MB of jobs on whatever node, beside three quarters of the descriptors for the platform; on a node of 256 descriptors or 32 MB both together are more than there is.

Checked, by a test with 64 descriptors: 14 Faktory workers and a crowd that says half a HELLO leave the platform's front none; an accept out of descriptors shed only at its own listener (loop.go), which had nothing to shed.

Changed: the second front takes a quarter of the descriptors and of the memory at most, the platform's share is so much less, and whoever is out of descriptors closes the least connection of any listener.

TestFaktorySmallNode fails without the change.

Conclusion: every cap comes from the configuration now, on both fronts.

--- a/cmd/moorstack/faktory_test.go
+++ b/cmd/moorstack/faktory_test.go
@@ -300,6 +300,23 @@
 	w.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(503, "")
 }
 
+// On a small node the Faktory file's limits give way to the node's: its workers, which are
+// never shed, and its crowd leave the platform's front its descriptors.
+func TestFaktorySmallNode(t *testing.T) {
+	t.Setenv("SOCKETS", "64")
+	t.Setenv("FILES", "64")
+	w, addr := newFaktory(t, "connections = 256")
+	for i := range 14 {
+		enter(t, addr, fmt.Sprint("w", i))
+	}
+	(&world{t: t, addr: addr}).crowd(60, "HELLO {")
+	began := time.Now()
+	w.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(503, "")
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("beside Faktory's crowd the platform's front took %v", took)
+	}
+}
+
 // A job's deadline ends it, whether or not a worker has it.
 func TestFaktoryDeadline(t *testing.T) {
 	_, addr := newFaktory(t, "")
--- a/cmd/moorstack/main.go
+++ b/cmd/moorstack/main.go
@@ -59,6 +59,16 @@
 		return err
 	}
 	entry := log.WithField("node", cfg.Name)
+	var second *faktory.Config
+	if *faktoryFile != "" {
+		if second, err = faktory.ReadConfig(*faktoryFile); err != nil {
+			return err
+		}
+		// Its file may allow more than this node has.
+		second.Connections = min(second.Connections, cfg.Limits.Sockets/4)
+		second.Bytes = min(second.Bytes, int(cfg.Limits.MemoryMB<<20/4))
+		cfg.Limits.Others = second.Connections
+	}
 	front := platform.New(loop, cfg, entry)
 	c, err := core.New(set, cfg.SeedNumber(), clock{loop}, front.Directory(), entry)
 	if err != nil {
@@ -68,12 +78,12 @@
 		return err
 	}
 	drain := front.Drain
-	if *faktoryFile != "" {
-		second, err := openFaktory(*faktoryFile, loop, set, cfg.SeedNumber(), entry)
+	if second != nil {
+		other, err := openFaktory(second, loop, set, cfg.SeedNumber(), entry)
 		if err != nil {
 			return err
 		}
-		drain = func(done func()) { second.Drain(func() { front.Drain(done) }) }
+		drain = func(done func()) { other.Drain(func() { front.Drain(done) }) }
 	}
 	go func() {
 		for sig := range signals {
@@ -93,12 +103,8 @@
 
 // openFaktory opens the second front. It has a route set of its own, and so a core
 // of its own: jobs of the one protocol can't be worked on in the other.
-func openFaktory(path string, loop *net.Loop, set brain.Settings, seed uint64, log logrus.FieldLogger) (
-	*faktory.Front, error) {
-	cfg, err := faktory.ReadConfig(path)
-	if err != nil {
-		return nil, err
-	}
+func openFaktory(cfg *faktory.Config, loop *net.Loop, set brain.Settings, seed uint64,
+	log logrus.FieldLogger) (*faktory.Front, error) {
 	set = faktory.Settings(set)
 	log = log.WithField("front", "faktory")
 	front, err := faktory.New(loop, cfg, set, log)
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -96,7 +95,7 @@
 // means that it never will be.
 func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
 	fd, addr, err := socket(address)
-	if scarce(err) && slices.ContainsFunc(l.inlets, func(ln *Listener) bool { return ln.shed(nil) }) {
+	if scarce(err) && l.free() {
 		fd, addr, err = socket(address) // what goes out must not wait for who comes in
 	}
 	if err != nil {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -252,6 +253,11 @@
 	return c != nil
 }
 
+// free makes one descriptor free, at whatever listener, and reports whether it could.
+func (l *Loop) free() bool {
+	return slices.ContainsFunc(l.inlets, func(ln *Listener) bool { return ln.shed(nil) })
+}
+
 // fit makes room for so many bytes, if need be at the cost of other connections.
 func (ln *Listener) fit(bytes int, but *Conn) bool {
 	for ln.held+bytes > ln.limits.Bytes {
@@ -275,7 +281,7 @@
 		case errors.Is(err, unix.EAGAIN):
 			return
 		case scarce(err):
-			if ln.shed(nil) {
+			if ln.shed(nil) || ln.loop.free() {
 				continue
 			}
 			// The level-triggered event would spin the loop. The connection waits with the
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -33,6 +33,8 @@
 	Cores    float64 `json:"cores"`
 	MemoryMB int64   `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
+
+	Others int `json:"-"` // descriptors that another front may hold
 }
 
 // ReadConfig reads the file that BALANCER_CONFIG names. The other variables, where
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -60,7 +60,7 @@
 	// of the memory may hold what has come in; results, the jobs under way and the
 	// collector's slack need the rest.
 	most := f.cfg.Limits
-	limits := net.Limits{Connections: most.Sockets * 3 / 4, Bytes: int(most.MemoryMB << 20 / 4)}
+	limits := net.Limits{Connections: most.Sockets*3/4 - most.Others, Bytes: int(most.MemoryMB << 20 / 4)}
 	var err error
 	f.listener, err = f.loop.Listen(f.cfg.Listen, limits, f.accept)
 	return err
