Let TestMemory's client come again, as clients do, when it was shed unread

Seen: one of three copies of the tests, run side by side, failed: TestMemory's usual client had its connection reset.

Checked: while the bytes of the 750 half-sent bodies still come, its own half-read body can be the quietest and be shed. The protocol allows that, nothing having been passed on, and has the client send once more on a new connection. The test sent once.

Changed: the test only.

Conclusion: the same verdict on a busy machine.

--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -496,7 +496,20 @@
 	w := newWorld(t, 1, done)
 	large := strings.Repeat("x", 60<<10)
 	w.crowd(750, strings.TrimSuffix(job("h", "quote", "3000m", large), "x"))
-	w.dial().send(job("a", "quote", "3000m", large)).want(200, "did "+large)
+	// While the crowd's bytes still come, this one may be the least, and is closed before
+	// it is read; a client then sends once more on a new connection.
+	eventually(t, "a large job is served", func() bool {
+		c := w.dial()
+		if _, err := io.WriteString(c, job("a", "quote", "3000m", large)); err != nil {
+			return false
+		}
+		resp, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			return false
+		}
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && resp.StatusCode == 200 && string(body) == "did "+large
+	})
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
 	check(t, err)
 	var most int
