Put the node's assembly in a package, and its commands on cobra

Later subsystems need sub-commands and one place that knows all the parts; main.go was both.

internal/node builds, reloads, configures and ends a node; cmd/moorstack has a file for each command. moorstack alone, and moorstack -faktory FILE, do as before. brain takes new classes and tenants while it runs: an open request keeps the class that it came with, and what cannot change live is refused. A class may have fewer attempts than the limits allow.

--- a/brain/api.go
+++ b/brain/api.go
@@ -70,6 +70,7 @@
 	Stream    bool          // the answer streams; see Streaming
 	Kind      int           // the kind of worker that it needs, or -1
 	Priority  int
+	Attempts  int // attempts for each request, within Limits.Attempts; 0: as many as those
 }
 
 // Tenant is one of the customers that share the fleet.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -139,7 +139,7 @@
 // release places the requests that have heard from all asked, or have waited long enough.
 func (b *Balancer) release(now time.Duration) {
 	b.asking = keep(b.asking, func(q *request) bool {
-		wait := b.set.Classes[q.Class].Aim / brief
+		wait := q.class.Aim / brief
 		if !q.over && q.heard < len(q.asked) && now-q.heldT < wait {
 			return true
 		}
@@ -155,7 +155,7 @@
 // trusted reports whether w is well enough for q to be drawn; if no worker is, all are drawn. Hazard: one
 // that errors at once, or can't be reached, keeps a low count and wins until its record is minded.
 func (b *Balancer) trusted(now time.Duration, q *request, w *worker) bool {
-	if b.set.Classes[q.Class].Effect == Unsafe {
+	if q.class.Effect == Unsafe {
 		return b.illness(now, w) < suspect/2
 	}
 	return b.illness(now, w) < suspect
@@ -278,7 +278,7 @@
 	w.pace = max(slow, w.pace+slow/4*(sample / *kind - w.pace))
 	*usual += slow * (ran - *usual)
 	b.mean += slow * (ran - b.mean)
-	c := &b.set.Classes[q.Class]
+	c := q.class
 	if (now - q.came).Seconds() <= c.Aim.Seconds()+c.Stretch*ran {
 		b.tallies[q.Class].served += b.units(q)
 	}
@@ -324,7 +324,7 @@
 	if most < 0 && wait+b.expect(q)*b.paceOf(now, w) < (q.deadline-now).Seconds() {
 		// Hazard: what a dying worker loses is late by then, and failing it earns nothing. It counts for
 		// what a late answer earns, and so gives way to all others.
-		most, value = slack, value*b.set.Classes[q.Class].LateShare
+		most, value = slack, value*q.class.LateShare
 	}
 	if q.excess {
 		// Hazard: what one tenant sends beyond its share takes the room of all others.
@@ -442,9 +442,9 @@
 
 // may is the one gate of every send: whether the rules let q go to w now.
 func (b *Balancer) may(now time.Duration, q *request, w *worker) bool {
-	c := &b.set.Classes[q.Class]
+	c := q.class
 	// Hazards: an answer is given twice; the tries or the time are used up.
-	if q.over || now >= q.deadline || len(q.tries) >= b.set.Limits.Attempts {
+	if q.over || now >= q.deadline || len(q.tries) >= b.attempts(c) {
 		return false
 	}
 	// Hazard: a draining worker gets new work.
@@ -596,7 +596,7 @@
 
 // refusable reports whether telling the client that another try is harmless is true.
 func (b *Balancer) refusable(q *request) bool {
-	c := &b.set.Classes[q.Class]
+	c := q.class
 	if c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
 		return true
 	}
@@ -622,7 +622,7 @@
 // Hazard: a worker goes silent or slow with the job in its queue, and no end tells of it in time.
 func (b *Balancer) hedge(now time.Duration) {
 	for _, q := range b.list {
-		if q.over || q.out != 1 || b.set.Classes[q.Class].Effect == Unsafe {
+		if q.over || q.out != 1 || q.class.Effect == Unsafe {
 			continue
 		}
 		t := &q.tries[len(q.tries)-1]
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1153,3 +1153,37 @@
 		r.end(r.last(), OK)
 	}
 }
+
+// A change of the classes under load: what is open keeps its terms, what comes has the new.
+func TestConfigureKeepsOpenRequests(t *testing.T) {
+	r := newRecorder(t, Settings{Classes: []Class{{Name: "c", Deadline: 10 * time.Second, Aim: time.Second,
+		Worth: 1, Attempts: 2, Kind: -1}}, Limits: Limits{Attempts: 5}, Kinds: 1})
+	b := r.b
+	set := b.set
+	set.Classes = []Class{{Name: "c", Deadline: 10 * time.Second, Aim: 2 * time.Second, Worth: 7, Kind: -1}}
+	r.members(Whole, Worker{ID: 1, State: Ready}, Worker{ID: 2, State: Ready}, Worker{ID: 3, State: Ready})
+	r.request(Request{ID: "old", Left: 10 * time.Second})
+	if err := b.CanConfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	b.Configure(set)
+	r.request(Request{ID: "new", Left: 10 * time.Second})
+	if got := b.attempts(b.open["old"].class); got != 2 {
+		t.Errorf("an open request has %d attempts, came with 2", got)
+	}
+	if got := b.attempts(b.open["new"].class); got != 5 {
+		t.Errorf("a new request has %d attempts, not the 5 of the limits", got)
+	}
+	if b.open["old"].class.Worth != 1 || b.open["new"].class.Worth != 7 {
+		t.Error("a request does not have the class that it came with")
+	}
+	for _, spoil := range []func(*Class){func(c *Class) { c.Effect = Unsafe }, func(c *Class) { c.Name = "d" },
+		func(c *Class) { c.Window = time.Hour }, func(c *Class) { c.Deadline = -1 }} {
+		bad := set
+		bad.Classes = append([]Class(nil), set.Classes...)
+		spoil(&bad.Classes[0])
+		if b.CanConfigure(bad) == nil {
+			t.Errorf("taken over live: %+v", bad.Classes[0])
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -71,6 +71,7 @@
 // request is an accepted request until its answer is given and its attempts have ended.
 type request struct {
 	Request
+	class    *Class // as it was when the request came
 	deadline time.Duration
 	asked    []*worker     // for their loads, those that have answered first
 	heard    int           // how many have
@@ -154,6 +155,42 @@
 	return b, nil
 }
 
+// CanConfigure says whether Configure may be called with the settings: as many classes
+// and tenants as before, under the same names, and the same word on what may run again.
+func (b *Balancer) CanConfigure(set Settings) error {
+	if err := check(&set, b.act); err != nil {
+		return err
+	}
+	if len(set.Classes) != len(b.set.Classes) || len(set.Tenants) != len(b.set.Tenants) {
+		return errors.New("classes and tenants can't come or go while the dispatcher runs")
+	}
+	for i, c := range set.Classes {
+		was := &b.set.Classes[i]
+		if c.Name != was.Name || c.Effect != was.Effect || c.Scope != was.Scope || c.Kind != was.Kind ||
+			c.Stream != was.Stream || c.Window != was.Window {
+			return fmt.Errorf("class %q: name, effect, scope, window, kind and stream can't change", was.Name)
+		}
+	}
+	for i, t := range set.Tenants {
+		if t.Name != b.set.Tenants[i].Name {
+			return fmt.Errorf("tenant %q: its name can't change", b.set.Tenants[i].Name)
+		}
+	}
+	return nil
+}
+
+// Configure takes over the classes and tenants of settings that CanConfigure approves.
+// Requests that are open keep the class that they came with: what a client was promised
+// when its job was taken must hold to the end.
+func (b *Balancer) Configure(set Settings) {
+	b.set.Classes = slices.Clone(set.Classes)
+	b.set.Tenants = slices.Clone(set.Tenants)
+	b.patience = b.set.Classes[0].Deadline
+	for _, c := range b.set.Classes {
+		b.patience = min(b.patience, c.Deadline)
+	}
+}
+
 // Members takes news of the list of workers.
 func (b *Balancer) Members(now time.Duration, kind ListKind, list []Worker) {
 	if !b.started {
@@ -311,6 +348,14 @@
 	return q, &q.tries[n]
 }
 
+// attempts is how many a request of the class may have.
+func (b *Balancer) attempts(c *Class) int {
+	if c.Attempts > 0 {
+		return min(c.Attempts, b.set.Limits.Attempts)
+	}
+	return b.set.Limits.Attempts
+}
+
 // admit enters a new request into the table, or returns nil if its ID is known already.
 func (b *Balancer) admit(now time.Duration, r Request) *request {
 	if b.open[r.ID] != nil {
@@ -318,6 +363,7 @@
 	}
 	q := b.newRequest()
 	r.Class = min(max(r.Class, 0), len(b.set.Classes)-1)
+	q.class = &b.set.Classes[r.Class]
 	q.Request, q.came, q.deadline, q.index = r, now, now+r.Left, len(b.list)
 	b.open[r.ID] = q
 	b.list = append(b.list, q)
@@ -433,7 +479,7 @@
 			return fmt.Errorf("Classes[%d].Deadline: %v is not positive", i, c.Deadline)
 		}
 		if c.Aim < 0 || c.Stretch < 0 || c.Worth < 0 || c.Window < 0 ||
-			c.Effect > Unsafe || c.Scope > ScopeCell {
+			c.Effect > Unsafe || c.Scope > ScopeCell || c.Attempts < 0 {
 			return fmt.Errorf("Classes[%d]: a value is out of range", i)
 		}
 		if c.Kind < -1 || c.Kind >= s.Kinds && c.Kind > 0 {
--- /dev/null
+++ b/cmd/moorstack/root.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"moorstack/internal/faktory"
+	"moorstack/internal/node"
+	"moorstack/internal/platform"
+)
+
+// global are the flags of every command.
+type global struct {
+	logLevel  string
+	logFormat string
+	output    string
+}
+
+func newRoot() *cobra.Command {
+	var g global
+	var faktoryFile string
+	root := &cobra.Command{
+		Use:   "moorstack",
+		Short: "A broker's node between the services of many teams",
+		Long: `moorstack takes jobs from clients, hands each to a worker, and sees to it that
+the client gets exactly one final answer.
+
+Without a sub-command it is the platform's node: BALANCER_CONFIG names its
+configuration in JSON, and BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY
+come before what that file says.`,
+		Example: `  BALANCER_CONFIG=deploy/example.json moorstack
+  BALANCER_CONFIG=deploy/example.json moorstack --faktory deploy/faktory.toml`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			log, err := g.logger()
+			if err != nil {
+				return err
+			}
+			// As the node always did: what ends it is a line of its log.
+			if err := servePlatform(log, faktoryFile); err != nil {
+				log.WithError(err).Fatal("the node can't go on")
+			}
+			return nil
+		},
+	}
+	root.Flags().StringVar(&faktoryFile, "faktory", "", "serve the Faktory work protocol too, as this `file` says")
+	root.PersistentFlags().StringVar(&g.logLevel, "log-level", "info", "least level logged: debug, info, warn or error")
+	root.PersistentFlags().StringVar(&g.logFormat, "log-format", "text", "form of the log: text or json")
+	root.AddCommand(newVersion())
+	return root
+}
+
+// logger is the log that the flags ask for, on standard error.
+func (g *global) logger() (*logrus.Logger, error) {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(g.logLevel)
+	if err != nil {
+		return nil, fmt.Errorf("--log-level: %q is not debug, info, warn or error", g.logLevel)
+	}
+	log.SetLevel(level)
+	switch g.logFormat {
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, fmt.Errorf("--log-format: %q is not text or json", g.logFormat)
+	}
+	return log, nil
+}
+
+// listen has the signals that a node acts on wait for it.
+func listen() chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// servePlatform is the platform's node.
+func servePlatform(log *logrus.Logger, faktoryFile string) error {
+	signals := listen()
+	cfg, err := platform.ReadConfig()
+	if err != nil {
+		return err
+	}
+	var second *faktory.Config
+	if faktoryFile != "" {
+		if second, err = faktory.ReadConfig(faktoryFile); err != nil {
+			return err
+		}
+	}
+	n, err := node.New(node.Options{Platform: cfg, Faktory: second, Log: log.WithField("node", cfg.Name)})
+	if err != nil {
+		return err
+	}
+	return n.Run(signals)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -158,6 +158,15 @@
 	return c, err
 }
 
+// CanConfigure says whether Configure may be called with the settings.
+func (c *Core) CanConfigure(set brain.Settings) error { return c.bal.CanConfigure(set) }
+
+// Configure takes over the classes and the tenants of the settings, which CanConfigure
+// has approved. A transaction that is open keeps the class that it came with.
+func (c *Core) Configure(set brain.Settings) {
+	c.do(func() { c.bal.Configure(set) })
+}
+
 // do runs f after all that waits already. The module must not be called from
 // within its own actions, and a front may come back from within an answer.
 func (c *Core) do(f func()) {
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -67,6 +67,9 @@
 	return err
 }
 
+// Configure takes over the classes' times, from the next job on.
+func (f *Front) Configure(set brain.Settings) { f.set = set }
+
 // Drain takes no more jobs, lets those taken end and their producers look the
 // answers up for a while, and calls done.
 func (f *Front) Drain(done func()) {
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,160 @@
+// Package node builds a node from its configuration: the loop, a core for each front,
+// the fronts. It starts them in that order and ends them in the opposite one. It is
+// the one place that knows all the parts.
+package node
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/brain"
+	"moorstack/internal/core"
+	"moorstack/internal/faktory"
+	"moorstack/internal/net"
+	"moorstack/internal/platform"
+)
+
+// Options are what a node is built from.
+type Options struct {
+	Platform *platform.Config
+	Faktory  *faktory.Config // nil: this front is off
+	Log      logrus.FieldLogger
+}
+
+// Node is a node that serves.
+type Node struct {
+	loop  *net.Loop
+	log   logrus.FieldLogger
+	front *platform.Front
+	cores []hosted
+	drain func(done func())
+}
+
+// hosted is a core and how the node's settings are fitted to its front.
+type hosted struct {
+	*core.Core
+	fit func(brain.Settings) brain.Settings
+	// told, where it is set, is the front's word of settings that its core has taken over.
+	told func(brain.Settings)
+}
+
+// clock is the loop's clock as the core takes it.
+type clock struct{ *net.Loop }
+
+func (c clock) At(at time.Duration, f func()) core.Timer { return c.Loop.At(at, f) }
+
+// New builds a node and opens its fronts. Nothing is served before Run.
+func New(o Options) (*Node, error) {
+	cfg := o.Platform
+	set, err := cfg.Settings.Brain()
+	if err != nil {
+		return nil, err
+	}
+	// One goroutine does all the work of the fronts. The collector works harder before
+	// the memory limit, beyond which the node is killed, is near.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
+	loop, err := net.New()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{loop: loop, log: o.Log}
+	if o.Faktory != nil {
+		// Its file may allow more than this node has.
+		o.Faktory.Connections = min(o.Faktory.Connections, cfg.Limits.Sockets/4)
+		o.Faktory.Bytes = min(o.Faktory.Bytes, int(cfg.Limits.MemoryMB<<20/4))
+		cfg.Limits.Others = o.Faktory.Connections
+	}
+	n.front = platform.New(loop, cfg, o.Log)
+	c, err := core.New(set, cfg.SeedNumber(), clock{loop}, n.front.Directory(), o.Log)
+	if err != nil {
+		return nil, err
+	}
+	n.cores = append(n.cores, hosted{Core: c, fit: func(s brain.Settings) brain.Settings { return s }})
+	if err := n.front.Open(c); err != nil {
+		return nil, err
+	}
+	n.drain = n.front.Drain
+	if o.Faktory != nil {
+		other, err := n.openFaktory(o.Faktory, set, cfg.SeedNumber())
+		if err != nil {
+			return nil, err
+		}
+		n.drain = func(done func()) { other.Drain(func() { n.front.Drain(done) }) }
+	}
+	o.Log.WithField("listen", cfg.Listen).Info("serving")
+	return n, nil
+}
+
+// openFaktory opens the second front. It has a route set of its own, and so a core
+// of its own: jobs of the one protocol can't be worked on in the other.
+func (n *Node) openFaktory(cfg *faktory.Config, set brain.Settings, seed uint64) (*faktory.Front, error) {
+	set = faktory.Settings(set)
+	log := n.log.WithField("front", "faktory")
+	front, err := faktory.New(n.loop, cfg, set, log)
+	if err != nil {
+		return nil, err
+	}
+	c, err := core.New(set, seed, clock{n.loop}, nil, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := front.Open(c); err != nil {
+		return nil, err
+	}
+	n.cores = append(n.cores, hosted{c, faktory.Settings, front.Configure})
+	log.WithField("listen", cfg.Listen).Info("serving")
+	return front, nil
+}
+
+// Run serves until the node has been asked to end and has finished what it took. A
+// SIGHUP among the signals reads the configuration anew, any other one ends the node.
+//
+// Hazard: a signal that nobody waits for yet ends the process, so the caller must have
+// had them notified before it built the node.
+func (n *Node) Run(signals <-chan os.Signal) error {
+	go func() {
+		for sig := range signals {
+			n.loop.Post(func() {
+				if sig == syscall.SIGHUP {
+					n.front.Reload()
+					return
+				}
+				n.log.Info("asked to end")
+				n.drain(n.loop.Stop)
+			})
+		}
+	}()
+	return n.loop.Run()
+}
+
+// Configure takes over the classes and tenants of the settings, in all cores as one
+// whole between two events of the loop. It may be called from any goroutine and
+// returns when it is done: with an error if a core can't take them, and then none has.
+func (n *Node) Configure(set brain.Settings) error {
+	done := make(chan error, 1)
+	n.loop.Post(func() { done <- n.configure(set) })
+	return <-done
+}
+
+func (n *Node) configure(set brain.Settings) error {
+	for _, c := range n.cores {
+		if err := c.CanConfigure(c.fit(set)); err != nil {
+			return fmt.Errorf("the settings can't be taken over: %w", err)
+		}
+	}
+	for _, c := range n.cores {
+		fitted := c.fit(set)
+		c.Configure(fitted)
+		if c.told != nil {
+			c.told(fitted)
+		}
+	}
+	return nil
+}
