--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run proto
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -13,3 +13,13 @@
 # A node on loopback with both fronts, to try things out.
 run: build
 	BALANCER_CONFIG=$${BALANCER_CONFIG:-deploy/example.json} exec bin/moorstack -faktory deploy/faktory.toml
+
+# The Go of the schemas. It needs protoc and the two plug-ins of these versions.
+PROTOC_GEN_GO = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+PROTOC_GEN_GO_GRPC = google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.0
+proto:
+	mkdir -p bin/tools
+	GOBIN=$(CURDIR)/bin/tools go install $(PROTOC_GEN_GO)
+	GOBIN=$(CURDIR)/bin/tools go install $(PROTOC_GEN_GO_GRPC)
+	PATH=$(CURDIR)/bin/tools:$$PATH protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative internal/schema/*.proto
--- /dev/null
+++ b/internal/agreement/document.go
@@ -0,0 +1,166 @@
+// Package agreement is the state that the instances of a group agree on: a versioned
+// document of classes, tenants and sections, who belongs to the group, and which changes
+// have been applied.
+//
+// It is a state machine without I/O, clock or randomness: the same changes in the same
+// order give the same state, byte for byte, at every instance. Package consensus brings
+// the changes in that order.
+package agreement
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"moorstack/brain"
+)
+
+// Format is the form of documents that this program reads. An instance that meets a
+// newer one stops applying changes rather than reading it in part.
+const Format = 1
+
+// Bounds on a document. A change beyond them is refused before it is proposed.
+const (
+	MaxDocument = 256 << 10 // bytes, as JSON
+	maxClasses  = 256
+	maxTenants  = 10_000
+	maxSections = 64
+	maxKeys     = 4096
+	maxName     = 128 // bytes, of any name
+)
+
+// Duration is a time span, written as in "1.5s".
+type Duration time.Duration
+
+// MarshalText writes it.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads it.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Document is what is agreed.
+type Document struct {
+	Classes  []Class                      `toml:"class" json:"class"`
+	Tenants  []Tenant                     `toml:"tenant" json:"tenant,omitempty"`
+	Sections map[string]map[string]string `toml:"section" json:"section,omitempty"`
+}
+
+// Class is a class of jobs.
+type Class struct {
+	Name     string   `toml:"name" json:"name"`
+	Effect   string   `toml:"effect" json:"effect"`                           // retryable, dedup or fragile
+	KeyScope string   `toml:"key_scope,omitempty" json:"key_scope,omitempty"` // all, zone or cell; for dedup
+	Window   Duration `toml:"window,omitempty" json:"window,omitempty"`       // for how long repeats are dropped; for dedup
+	GiveUp   Duration `toml:"give_up" json:"give_up"`                         // the client's patience over all its tries
+	Aim      Duration `toml:"aim" json:"aim"`                                 // an answer within it earns the whole worth
+	// Stretch: the aim grows by this many times the job's own work.
+	Stretch   float64 `toml:"aim_stretch,omitempty" json:"aim_stretch,omitempty"`
+	Worth     float64 `toml:"worth" json:"worth"`
+	LateShare float64 `toml:"late_share,omitempty" json:"late_share,omitempty"` // of the worth, after the aim
+	Attempts  int     `toml:"attempts,omitempty" json:"attempts,omitempty"`     // 0: as many as the deployment allows
+}
+
+// Tenant is a team that shares the workers.
+type Tenant struct {
+	Name      string  `toml:"name" json:"name"`
+	Share     float64 `toml:"share" json:"share"`
+	Allowance float64 `toml:"allowance_per_s,omitempty" json:"allowance_per_s,omitempty"` // requests a second, over all instances
+}
+
+// Encode gives the document's one form in bytes: equal documents have equal bytes.
+func (d *Document) Encode() []byte {
+	b, err := json.Marshal(d) // maps are written in the order of their keys
+	if err != nil {
+		panic(fmt.Sprintf("agreement: a document can't be written: %v", err)) // NaN; Validate has refused it
+	}
+	return b
+}
+
+// Decode reads what Encode wrote. A field that it doesn't know is an error: to pass over
+// it would be to agree on something else than the others.
+func Decode(b []byte) (*Document, error) {
+	d := &Document{}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(d); err != nil {
+		return nil, fmt.Errorf("reading a document: %w", err)
+	}
+	return d, nil
+}
+
+var effects = map[string]brain.Effect{"retryable": brain.Safe, "dedup": brain.Keyed, "fragile": brain.Unsafe}
+var scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone,
+	"cell": brain.ScopeCell}
+
+func wordFor[V comparable](words map[string]V, v V) string {
+	for word, has := range words {
+		if has == v && word != "" {
+			return word
+		}
+	}
+	return ""
+}
+
+// FromSettings is the document that says what the settings say: a new group's first one.
+func FromSettings(s brain.Settings) *Document {
+	d := &Document{}
+	for _, c := range s.Classes {
+		k := Class{Name: c.Name, Effect: wordFor(effects, c.Effect), GiveUp: Duration(c.Deadline), Aim: Duration(c.Aim),
+			Stretch: c.Stretch, Worth: c.Worth, LateShare: c.LateShare, Attempts: c.Attempts}
+		if c.Effect == brain.Keyed {
+			k.KeyScope, k.Window = wordFor(scopes, c.Scope), Duration(c.Window)
+		}
+		d.Classes = append(d.Classes, k)
+	}
+	for _, t := range s.Tenants {
+		d.Tenants = append(d.Tenants, Tenant{Name: t.Name, Share: t.Share, Allowance: t.Allowance})
+	}
+	return d
+}
+
+// Onto puts the document's word over an instance's own settings. The classes and tenants
+// must be the same ones, in any order.
+func (d *Document) Onto(s brain.Settings) (brain.Settings, error) {
+	if len(d.Classes) != len(s.Classes) || len(d.Tenants) != len(s.Tenants) {
+		return s, fmt.Errorf("the document has %d classes and %d tenants, this instance's own settings %d and %d",
+			len(d.Classes), len(d.Tenants), len(s.Classes), len(s.Tenants))
+	}
+	s.Classes = append([]brain.Class(nil), s.Classes...)
+	s.Tenants = append([]brain.Tenant(nil), s.Tenants...)
+	at := map[string]int{}
+	for i, c := range s.Classes {
+		at[c.Name] = i
+	}
+	for _, k := range d.Classes {
+		i, ok := at[k.Name]
+		if !ok {
+			return s, fmt.Errorf("this instance's own settings have no class %q", k.Name)
+		}
+		c := &s.Classes[i]
+		if c.Effect != effects[k.Effect] || c.Effect == brain.Keyed &&
+			(c.Scope != scopes[k.KeyScope] || c.Window != time.Duration(k.Window)) {
+			return s, fmt.Errorf("class %q: this instance's own settings say otherwise what may run again", k.Name)
+		}
+		c.Deadline, c.Aim, c.Stretch = time.Duration(k.GiveUp), time.Duration(k.Aim), k.Stretch
+		c.Worth, c.LateShare, c.Attempts = k.Worth, k.LateShare, k.Attempts
+	}
+	clear(at)
+	for i, t := range s.Tenants {
+		at[t.Name] = i
+	}
+	for _, k := range d.Tenants {
+		i, ok := at[k.Name]
+		if !ok {
+			return s, fmt.Errorf("this instance's own settings have no tenant %q", k.Name)
+		}
+		s.Tenants[i].Share, s.Tenants[i].Allowance = k.Share, k.Allowance
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/consensus/drive.go
@@ -0,0 +1,44 @@
+package consensus
+
+import (
+	"fmt"
+
+	"moorstack/internal/store"
+)
+
+// Log is where an instance's records go: a store.Store.
+type Log interface {
+	Append(...store.Record) (uint64, error)
+	Sync() error
+	Snapshot([]byte) error
+}
+
+// Drive carries out what an instance wants done after an input: it writes, syncs, and
+// only then has the effects carried out. After an error the instance must not be used.
+func Drive(i *Instance, log Log, carry func(Effects)) error {
+	for {
+		work, ok := i.Next()
+		if !ok {
+			return nil
+		}
+		if len(work.Records) > 0 {
+			if _, err := log.Append(work.Records...); err != nil {
+				return fmt.Errorf("writing the agreement's log: %w", err)
+			}
+		}
+		// Hazard: a message or an answer that goes out before what it promises is durable
+		// is a promise that a crash breaks.
+		if work.Sync {
+			if err := log.Sync(); err != nil {
+				return fmt.Errorf("writing the agreement's log: %w", err)
+			}
+		}
+		effects := i.Finish()
+		if effects.Image != nil {
+			if err := log.Snapshot(effects.Image); err != nil {
+				return fmt.Errorf("writing the agreement's snapshot: %w", err)
+			}
+		}
+		carry(effects)
+	}
+}
--- /dev/null
+++ b/internal/consensus/instance.go
@@ -0,0 +1,519 @@
+// Package consensus brings the changes of package agreement into one order at all
+// instances of a group, by the Raft protocol (go.etcd.io/raft).
+//
+// An Instance is a state machine: ticks, messages and requests go in; what must be
+// written, sent and answered comes out, and it does none of that itself. It has no clock,
+// no goroutine and no random source but its seed, so that the same inputs give the same
+// outputs: a day of failures is simulated in a second and can be played again.
+//
+// The contract with whoever drives it:
+//
+//	for {
+//		work, ok := i.Next()
+//		if !ok { break }
+//		store.Append(work.Records...)   // in this order
+//		if work.Sync { store.Sync() }   // before anything of Finish is carried out
+//		effects := i.Finish()
+//		if effects.Image != nil { store.Snapshot(effects.Image) }
+//		// send effects.Messages, give effects.Answers, tell effects.Revisions
+//	}
+//
+// after every input. If writing fails, the instance is not used any more: it is made anew
+// from what the store has.
+//
+// Raft's own election time-out is drawn from the system's random source. An Instance
+// draws it from its seed, tells Raft when to campaign, and lets Raft's clock run by
+// TickQuiesced otherwise (see Tick).
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/schema"
+	"moorstack/internal/store"
+)
+
+// Config is how an instance is run. Times are counted in ticks.
+type Config struct {
+	Rules          agreement.Rules
+	ElectionTicks  int // without word of the leader, and up to twice as many: 10, if 0
+	HeartbeatTicks int // 1, if 0
+	PatienceTicks  int // a request that can't be decided by then is answered so: 50, if 0
+	SnapshotEvery  uint64
+	KeepEntries    uint64 // behind a snapshot, for those who lag a little
+	Seed           uint64
+	Log            logrus.FieldLogger
+}
+
+func (c Config) filled() Config {
+	fill := func(v *int, to int) {
+		if *v <= 0 {
+			*v = to
+		}
+	}
+	fill(&c.ElectionTicks, 10)
+	fill(&c.HeartbeatTicks, 1)
+	fill(&c.PatienceTicks, 50)
+	if c.SnapshotEvery == 0 {
+		c.SnapshotEvery = 200
+	}
+	if c.KeepEntries == 0 {
+		c.KeepEntries = 50
+	}
+	return c
+}
+
+// Why a request is not carried out.
+var (
+	ErrNoGroup  = errors.New("this instance belongs to no group yet")
+	ErrNoLeader = errors.New("no leader is known: this instance is cut off, or the group has no majority")
+	ErrUnknown  = errors.New("it could not be decided in time; it may still come into force")
+	ErrRemoved  = errors.New("this instance has been removed from its group")
+	ErrHalted   = errors.New("this instance has stopped taking part in the agreement")
+)
+
+// NotLeaderError says that only the leader can do it, and who that is.
+type NotLeaderError struct{ Leader agreement.Member }
+
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("only the leader can, which is %s", e.Leader.Name)
+}
+
+// RefusedError is a membership operation that would do harm or makes no sense.
+type RefusedError struct{ Reason string }
+
+func (e *RefusedError) Error() string { return e.Reason }
+
+// Ticket names a request until its Answer.
+type Ticket uint64
+
+// Answer ends a request, once.
+type Answer struct {
+	Ticket  Ticket
+	Err     error
+	Outcome agreement.Outcome // of a proposal
+}
+
+// Work is what must be written before Finish.
+type Work struct {
+	Records []store.Record
+	Sync    bool
+}
+
+// Effects are what follows from the inputs.
+type Effects struct {
+	Messages  []*pb.Message
+	Answers   []Answer
+	Revisions []agreement.Revision // newly in force, in order
+	Image     []byte               // for store.Snapshot: the store's records can go
+}
+
+// Instance is one member of a group.
+type Instance struct {
+	cfg      Config
+	identity *schema.Identity
+	rn       *raft.RawNode // nil until it belongs to a group
+	storage  *raft.MemoryStorage
+	state    *agreement.State // nil until the first snapshot has come
+	rng      *rand.Rand
+
+	ticks    uint64
+	quiet    int // ticks since the leader was heard of, or this one campaigned
+	patience int // that it campaigns after
+	contact  uint64
+	heard    map[uint64]uint64 // when each member was, in ticks
+
+	applied uint64
+	imaged  uint64 // the index of the last snapshot
+	conf    *pb.ConfState
+	// reshaped: the members have changed since the last snapshot.
+	reshaped bool
+	told     uint64 // the revision told last
+	ready    *raft.Ready
+	unsaved  []store.Record // of the identity, before anything else
+	out      Effects
+	outcome  []outcome // of this Ready, until it is finished
+	waiting  []*request
+	ticket   Ticket
+	removed  bool
+	halted   error
+}
+
+type outcome struct {
+	id  string
+	res agreement.Outcome
+}
+
+// The kinds of records in an instance's store.
+const (
+	recIdentity = 1 + iota // schema.Identity
+	recHardState
+	recEntry
+	recSnapshot
+)
+
+// Saved collects what an instance's store gives back. Its methods are store.Open's.
+type Saved struct {
+	identity *schema.Identity
+	hard     *pb.HardState
+	storage  *raft.MemoryStorage
+}
+
+// NewSaved is for an empty store or one to be read.
+func NewSaved() *Saved { return &Saved{storage: raft.NewMemoryStorage()} }
+
+// Image reads the snapshot of the store.
+func (s *Saved) Image(b []byte) error {
+	var im schema.Image
+	if err := proto.Unmarshal(b, &im); err != nil {
+		return fmt.Errorf("the image can't be read: %w", err)
+	}
+	s.identity = im.Identity
+	if len(im.HardState) > 0 {
+		if err := s.Record(store.Record{Kind: recHardState, Data: im.HardState}); err != nil {
+			return err
+		}
+	}
+	if len(im.Snapshot) > 0 {
+		if err := s.Record(store.Record{Kind: recSnapshot, Data: im.Snapshot}); err != nil {
+			return err
+		}
+	}
+	for _, e := range im.Entries {
+		if err := s.Record(store.Record{Kind: recEntry, Data: e}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Record reads a record of the store.
+func (s *Saved) Record(r store.Record) error {
+	switch r.Kind {
+	case recIdentity:
+		s.identity = &schema.Identity{}
+		return proto.Unmarshal(r.Data, s.identity)
+	case recHardState:
+		s.hard = &pb.HardState{}
+		return proto.Unmarshal(r.Data, s.hard)
+	case recEntry:
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(r.Data, e); err != nil {
+			return err
+		}
+		last, _ := s.storage.LastIndex()
+		first, _ := s.storage.FirstIndex()
+		if e.GetIndex() > last+1 || e.GetIndex() < first {
+			return fmt.Errorf("entry %d is not within %d and %d", e.GetIndex(), first, last+1)
+		}
+		return s.storage.Append([]*pb.Entry{e})
+	case recSnapshot:
+		snap := &pb.Snapshot{}
+		if err := proto.Unmarshal(r.Data, snap); err != nil {
+			return err
+		}
+		if err := s.storage.ApplySnapshot(snap); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+			return err
+		}
+		return nil
+	}
+	return fmt.Errorf("a record of the unknown kind %d", r.Kind)
+}
+
+// New makes an instance from what its store gave back. One whose store is empty is a new
+// instance under the given number, which must have been drawn at random: a number is
+// never used again, so that an instance whose disk was wiped has no vote under the old one.
+func New(cfg Config, saved *Saved, number uint64, name string) (*Instance, error) {
+	cfg = cfg.filled()
+	i := &Instance{cfg: cfg, identity: saved.identity, storage: saved.storage, heard: map[uint64]uint64{}}
+	if i.identity == nil {
+		if number == 0 || raft.IsLocalMsgTarget(number) {
+			return nil, fmt.Errorf("%d is no number for an instance", number)
+		}
+		i.identity = &schema.Identity{Id: number, Name: name}
+		i.saveIdentity()
+	}
+	if name != "" && i.identity.Name != name {
+		return nil, fmt.Errorf("the directory is of instance %q, the configuration names %q", i.identity.Name, name)
+	}
+	i.rng = rand.New(rand.NewPCG(cfg.Seed, i.identity.Id))
+	if i.identity.Cluster == "" {
+		return i, nil
+	}
+	if saved.hard != nil {
+		last, _ := i.storage.LastIndex()
+		if saved.hard.GetCommit() > last {
+			return nil, fmt.Errorf("the store says that entry %d was agreed on and ends at %d", saved.hard.GetCommit(), last)
+		}
+		if err := i.storage.SetHardState(saved.hard); err != nil {
+			return nil, err
+		}
+	}
+	return i, i.start()
+}
+
+func (i *Instance) saveIdentity() {
+	b, err := proto.Marshal(i.identity)
+	if err != nil {
+		panic(err) // there is nothing in it that can't be written
+	}
+	i.unsaved = append(i.unsaved, store.Record{Kind: recIdentity, Data: b})
+}
+
+// start begins to take part, from what the storage has.
+func (i *Instance) start() error {
+	snap, err := i.storage.Snapshot()
+	if err != nil {
+		return err
+	}
+	if meta := snap.GetMetadata(); meta.GetIndex() > 0 {
+		if i.state, err = agreement.Restore(i.cfg.Rules, snap.GetData()); err != nil {
+			return err
+		}
+		i.conf, i.applied, i.imaged = meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
+		i.tell()
+	}
+	i.patience = i.draw()
+	i.rn, err = raft.NewRawNode(&raft.Config{
+		ID: i.identity.Id, ElectionTick: i.cfg.ElectionTicks, HeartbeatTick: i.cfg.HeartbeatTicks,
+		Storage: i.storage, Applied: i.applied, MaxSizePerMsg: 1 << 20, MaxCommittedSizePerReady: 4 << 20,
+		MaxUncommittedEntriesSize: 8 << 20, MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true,
+		StepDownOnRemoval: true, Logger: raftLog{i.cfg.Log},
+	})
+	return err
+}
+
+// draw is how many quiet ticks it takes until this instance campaigns.
+func (i *Instance) draw() int { return i.cfg.ElectionTicks + i.rng.IntN(i.cfg.ElectionTicks) }
+
+// Bootstrap makes a group of this instance alone, with a document. A group made from a
+// backup counts its revisions on from the backup's.
+func (i *Instance) Bootstrap(cluster, address string, first *agreement.Document, after uint64) error {
+	if i.identity.Cluster != "" {
+		return &RefusedError{"this instance belongs to a group already"}
+	}
+	state, err := agreement.New(i.cfg.Rules, cluster, first, after,
+		agreement.Member{ID: i.identity.Id, Name: i.identity.Name, Address: address})
+	if err != nil {
+		return &RefusedError{err.Error()}
+	}
+	// The group begins with a snapshot: there are no entries that made it.
+	snap := &pb.Snapshot{Data: state.Encode(), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1),
+		Term: proto.Uint64(1), ConfState: &pb.ConfState{Voters: []uint64{i.identity.Id}}}}
+	hard := &pb.HardState{Term: proto.Uint64(1), Vote: proto.Uint64(0), Commit: proto.Uint64(1)}
+	s, err := proto.Marshal(snap)
+	if err != nil {
+		return err
+	}
+	h, err := proto.Marshal(hard)
+	if err != nil {
+		return err
+	}
+	if err := i.storage.ApplySnapshot(snap); err != nil {
+		return err
+	}
+	if err := i.storage.SetHardState(hard); err != nil {
+		return err
+	}
+	i.identity.Cluster = cluster
+	// Hazard: the identity comes last, so that a group exists whole or not at all.
+	i.unsaved = append(i.unsaved, store.Record{Kind: recSnapshot, Data: s}, store.Record{Kind: recHardState, Data: h})
+	i.saveIdentity()
+	if err := i.start(); err != nil {
+		return err
+	}
+	return i.rn.Campaign()
+}
+
+// Join has this instance belong to a group from now on. It has no vote, and nothing to
+// agree on, until the group has taken it in.
+func (i *Instance) Join(cluster string) error {
+	if i.identity.Cluster == cluster && cluster != "" {
+		return nil
+	}
+	if i.identity.Cluster != "" || cluster == "" {
+		return &RefusedError{fmt.Sprintf("this instance belongs to group %s already", i.identity.Cluster)}
+	}
+	i.identity.Cluster = cluster
+	i.saveIdentity()
+	return i.start()
+}
+
+// Tick is the passing of one unit of time.
+func (i *Instance) Tick() {
+	i.ticks++
+	if i.rn == nil || i.halted != nil {
+		return
+	}
+	i.guarded(func() {
+		if s := i.rn.BasicStatus(); s.RaftState == raft.StateLeader {
+			i.contact, i.quiet = i.ticks, 0
+			i.rn.Tick()
+		} else {
+			// Raft's own Tick would campaign at a time that nobody can repeat.
+			i.rn.TickQuiesced()
+			if i.quiet++; i.quiet >= i.patience && i.votes() && !i.gone() {
+				i.quiet, i.patience = 0, i.draw()
+				_ = i.rn.Campaign() // refused while a change of members waits to be applied
+			}
+		}
+		i.look()
+	})
+}
+
+// votes says whether this instance may be elected.
+func (i *Instance) votes() bool {
+	for _, set := range [][]uint64{i.conf.GetVoters(), i.conf.GetVotersOutgoing()} {
+		for _, id := range set {
+			if id == i.identity.Id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (i *Instance) gone() bool {
+	return i.removed || i.state != nil && i.state.Removed(i.identity.Id)
+}
+
+// ToldRemoved is the word of another member that this one has been removed, for one that
+// was cut off when it happened and would ask for votes for ever.
+func (i *Instance) ToldRemoved() { i.removed = true }
+
+// guarded keeps a broken log or message from ending the process: the node serves on with
+// the configuration that it has, and says that it takes no part any more.
+func (i *Instance) guarded(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			i.halt(fmt.Errorf("%w: %v", ErrHalted, p))
+		}
+	}()
+	f()
+}
+
+func (i *Instance) halt(err error) {
+	if i.halted == nil {
+		i.halted = err
+		i.cfg.Log.WithError(err).Error("the agreement has stopped here")
+	}
+	for _, r := range i.waiting {
+		i.out.Answers = append(i.out.Answers, Answer{Ticket: r.ticket, Err: i.halted})
+	}
+	i.waiting = nil
+}
+
+// Step takes a message of another instance. One that makes no sense is an error, and
+// changes nothing.
+func (i *Instance) Step(m *pb.Message) error {
+	if i.rn == nil {
+		return ErrNoGroup
+	}
+	if i.halted != nil {
+		return i.halted
+	}
+	if err := i.sane(m); err != nil {
+		return err
+	}
+	i.heard[m.GetFrom()] = i.ticks
+	var err error
+	i.guarded(func() {
+		err = i.rn.Step(m)
+		s := i.rn.BasicStatus()
+		switch m.GetType() {
+		case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap:
+			if s.Lead == m.GetFrom() && s.GetTerm() == m.GetTerm() {
+				i.quiet, i.contact = 0, i.ticks
+			}
+		}
+	})
+	if errors.Is(err, raft.ErrStepPeerNotFound) {
+		return nil // an answer of one that has been removed meanwhile
+	}
+	return err
+}
+
+// sane checks what a message must hold. Raft takes its peers' word for the rest.
+func (i *Instance) sane(m *pb.Message) error {
+	if m.GetTo() != i.identity.Id {
+		return fmt.Errorf("the message is for instance %x, this is %x", m.GetTo(), i.identity.Id)
+	}
+	if m.GetFrom() == i.identity.Id || m.GetFrom() == raft.None || raft.IsLocalMsgTarget(m.GetFrom()) {
+		return fmt.Errorf("the message is from %x", m.GetFrom())
+	}
+	if i.state != nil && i.state.Removed(m.GetFrom()) {
+		return ErrRemoved
+	}
+	switch m.GetType() {
+	case pb.MsgProp:
+		if len(m.GetEntries()) == 0 {
+			return errors.New("a proposal of nothing")
+		}
+		return nil
+	case pb.MsgApp:
+		for n, e := range m.GetEntries() {
+			if e == nil || e.GetIndex() != m.GetIndex()+1+uint64(n) || e.GetTerm() > m.GetTerm() {
+				return errors.New("the entries are not in order")
+			}
+		}
+		return nil
+	case pb.MsgSnap:
+		meta := m.GetSnapshot().GetMetadata()
+		if meta.GetIndex() == 0 || meta.GetTerm() == 0 || meta.GetConfState() == nil {
+			return errors.New("the snapshot is of nothing")
+		}
+		if _, err := agreement.Restore(i.cfg.Rules, m.GetSnapshot().GetData()); err != nil {
+			return err
+		}
+		return nil
+	case pb.MsgReadIndex, pb.MsgReadIndexResp:
+		if len(m.GetEntries()) != 1 || m.GetEntries()[0] == nil {
+			return errors.New("a read without its number")
+		}
+		return nil
+	case pb.MsgAppResp, pb.MsgVote, pb.MsgVoteResp, pb.MsgPreVote, pb.MsgPreVoteResp, pb.MsgHeartbeat,
+		pb.MsgHeartbeatResp, pb.MsgTransferLeader, pb.MsgTimeoutNow:
+		return nil
+	}
+	return fmt.Errorf("a message of the kind %v does not come from another instance", m.GetType())
+}
+
+// SnapshotSent says whether a snapshot reached the one it was for.
+func (i *Instance) SnapshotSent(to uint64, ok bool) {
+	if i.rn == nil {
+		return
+	}
+	status := raft.SnapshotFinish
+	if !ok {
+		status = raft.SnapshotFailure
+	}
+	i.guarded(func() { i.rn.ReportSnapshot(to, status) })
+}
+
+// Unreachable says that messages to an instance do not get through.
+func (i *Instance) Unreachable(id uint64) {
+	if i.rn != nil {
+		i.guarded(func() { i.rn.ReportUnreachable(id) })
+	}
+}
+
+// raftLog has Raft's few lines go where ours go. Most of what it says at info is of its
+// inner life, so it counts as debug here.
+type raftLog struct{ logrus.FieldLogger }
+
+func (l raftLog) Info(v ...any)                    { l.Debug(v...) }
+func (l raftLog) Infof(format string, v ...any)    { l.Debugf(format, v...) }
+func (l raftLog) Warning(v ...any)                 { l.Debug(v...) }
+func (l raftLog) Warningf(format string, v ...any) { l.Debugf(format, v...) }
+func (l raftLog) Fatal(v ...any)                   { panic(fmt.Sprint(v...)) }
+func (l raftLog) Fatalf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
+func (l raftLog) Panic(v ...any)                   { panic(fmt.Sprint(v...)) }
+func (l raftLog) Panicf(format string, v ...any)   { panic(fmt.Sprintf(format, v...)) }
--- /dev/null
+++ b/internal/prove/story.go
@@ -0,0 +1,364 @@
+package prove
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/schema"
+)
+
+// fault does something to the world.
+func (w *world) fault() {
+	pick := func() *machine { return w.machines[w.faults.IntN(len(w.machines))] }
+	name := ""
+	switch w.faults.IntN(16) {
+	case 0, 1:
+		name = "power"
+		pick().die(true)
+	case 2:
+		name = "kill"
+		pick().die(false)
+	case 3, 4:
+		// At some point of its next writes and sends: before, between or after them.
+		name = "power mid-write"
+		pick().dieIn = 1 + w.faults.IntN(8)
+	case 5:
+		name = "leader mid-write"
+		if lead := w.leader(); lead != nil {
+			lead.dieIn = 1 + w.faults.IntN(10)
+		}
+	case 6:
+		name = "cut off"
+		m := pick()
+		for _, o := range w.machines {
+			if o != m {
+				w.cut[[2]string{m.name, o.name}], w.cut[[2]string{o.name, m.name}] = true, true
+			}
+		}
+	case 7:
+		name = "one-way cut"
+		m := pick()
+		out := w.faults.IntN(2) == 0
+		for _, o := range w.machines {
+			if o != m {
+				if out {
+					w.cut[[2]string{m.name, o.name}] = true
+				} else {
+					w.cut[[2]string{o.name, m.name}] = true
+				}
+			}
+		}
+	case 8:
+		name = "cut in two"
+		k := 1 + w.faults.IntN(len(w.machines)-1)
+		for i, a := range w.machines {
+			for j, b := range w.machines {
+				if (i < k) != (j < k) {
+					w.cut[[2]string{a.name, b.name}] = true
+				}
+			}
+		}
+	case 9, 10:
+		name = "cuts end"
+		clear(w.cut)
+	case 11:
+		name = "loss"
+		w.loss = []float64{0, 0.05, 0.3}[w.faults.IntN(3)]
+	case 12:
+		name = "disk full"
+		pick().fs.Room = int64(w.faults.IntN(2000))
+	case 13:
+		name = "clock"
+		pick().pace = tick + int64(w.faults.IntN(9)) - 4
+	case 14:
+		name = "transfer"
+		if lead := w.leader(); lead != nil {
+			w.operate(lead, &schema.Operation{Kind: schema.Operation_TRANSFER, Name: pick().name}, 0)
+		}
+	case 15:
+		name = w.members()
+	}
+	w.trace("fault: %s", name)
+	w.res.Faults[name]++
+}
+
+// members changes who belongs to the group.
+func (w *world) members() string {
+	lead := w.leader()
+	if lead == nil {
+		return "no leader to ask"
+	}
+	m := w.machines[w.faults.IntN(len(w.machines))]
+	// One at a time: a majority that has lost its word has lost what it agreed on, and
+	// nobody can be blamed for that but the operators.
+	for _, o := range w.machines {
+		if o.inst == nil || !w.member(o) {
+			return "change put off"
+		}
+	}
+	if w.faults.IntN(2) == 0 && m != lead {
+		// Its disk is gone, and with it its word: it must not vote under its old name.
+		m.die(false)
+		m.fs.Wipe()
+		w.after(60, func() { w.enter(m) })
+		return "wiped"
+	}
+	// One goes and comes back as a new one.
+	w.operate(lead, &schema.Operation{Kind: schema.Operation_REMOVE, Name: m.name}, 0)
+	w.after(400, func() {
+		// Only who is surely out may lose its disk.
+		if lead := w.leader(); lead == nil || !lead.inst.State().Removed(m.number) {
+			return
+		}
+		m.die(false)
+		m.fs.Wipe()
+		w.after(400, func() { w.enter(m) })
+	})
+	return "removed"
+}
+
+// member says whether the leader knows the machine as a voter.
+func (w *world) member(m *machine) bool {
+	if lead := w.leader(); lead != nil {
+		for _, s := range lead.inst.Status().Members {
+			if s.ID == m.number {
+				return s.Voter
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) heal() {
+	w.trace("all is mended")
+	clear(w.cut)
+	w.loss = 0
+	for _, m := range w.machines {
+		m.fs.Room = -1
+		m.dieIn = 0
+		m.start()
+	}
+}
+
+// What clients do is recorded for the check that all of it can be put in one order.
+type input struct {
+	write bool
+	base  uint64
+	id    string
+}
+
+type output struct {
+	unknown  bool // it may have taken effect at any time, or never
+	accepted bool
+	revision uint64
+	id       string // of the change that is in force
+}
+
+// register is the agreed document as a sequential object: a revision and the change that
+// made it.
+type register struct {
+	revision uint64
+	id       string
+}
+
+var model = porcupine.Model{
+	Init: func() any { return register{1, "first"} },
+	Step: func(state, in, out any) (bool, any) {
+		s, i, o := state.(register), in.(input), out.(output)
+		switch {
+		case !i.write:
+			return o.revision == s.revision && o.id == s.id, s
+		case o.accepted:
+			return i.base == s.revision && o.revision == s.revision+1, register{s.revision + 1, i.id}
+		default:
+			return i.base != s.revision, s
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// client reads and proposes, one after the other, and repeats what it has no answer for
+// under the same id.
+func (w *world) client(n int) {
+	w.after(int64(20+w.rng.IntN(150)), func() {
+		if w.calm {
+			return
+		}
+		up := w.up()
+		if len(up) == 0 {
+			w.client(n)
+			return
+		}
+		m := up[w.rng.IntN(len(up))]
+		state := m.inst.State()
+		if state == nil {
+			w.client(n)
+			return
+		}
+		if w.rng.IntN(3) == 0 {
+			w.read(n, m)
+			return
+		}
+		w.made++
+		base := state.Newest().Revision
+		id := fmt.Sprintf("c%d-%d", n, w.made)
+		c := agreement.Change{ID: id, Base: base, Author: id, At: time.UnixMilli(w.now), Document: document(w.made)}
+		w.propose(n, m, c, w.now, 8)
+	})
+}
+
+func (w *world) read(n int, m *machine) {
+	call := w.now
+	done := false
+	t := m.inst.Read()
+	m.answers[t] = func(a consensus.Answer) {
+		done = true
+		w.client(n)
+		if a.Err != nil {
+			return
+		}
+		w.res.Reads++
+		r := m.inst.State().Newest()
+		w.trace("client %d reads revision %d (%s) from %s", n, r.Revision, r.ID, m.name)
+		w.record(n, input{}, output{revision: r.Revision, id: r.ID}, call)
+	}
+	w.lost(m, &done, func() { w.client(n) })
+	m.drive()
+}
+
+// lost calls f if a machine dies before its answer.
+func (w *world) lost(m *machine, done *bool, f func()) {
+	life := m.life
+	var look func()
+	look = func() {
+		switch {
+		case *done:
+		case m.life != life:
+			*done = true
+			f()
+		default:
+			w.after(tick, look)
+		}
+	}
+	w.after(tick, look)
+}
+
+func (w *world) propose(n int, m *machine, c agreement.Change, call int64, left int) {
+	done := false
+	again := func(why string) {
+		if left > 0 && !w.calm {
+			w.after(int64(10+w.rng.IntN(60)), func() {
+				if up := w.up(); len(up) > 0 && !w.calm {
+					w.propose(n, up[w.rng.IntN(len(up))], c, call, left-1)
+				} else {
+					w.unknown(n, c, call)
+				}
+			})
+			return
+		}
+		w.trace("client %d gives %s up: %s", n, c.ID, why)
+		w.unknown(n, c, call)
+	}
+	w.trace("client %d proposes %s on revision %d to %s", n, c.ID, c.Base, m.name)
+	t := m.inst.Propose(c)
+	m.answers[t] = func(a consensus.Answer) {
+		done = true
+		if a.Err != nil {
+			again(a.Err.Error())
+			return
+		}
+		o := a.Outcome
+		w.trace("client %d is told by %s: %s is %v, revision %d", n, m.name, c.ID, o.Code, o.Revision)
+		switch o.Code {
+		case agreement.Accepted:
+			w.res.Accepted++
+			w.acked[c.ID] = o.Revision
+			w.record(n, input{true, c.Base, c.ID}, output{accepted: true, revision: o.Revision}, call)
+		case agreement.Conflict:
+			w.res.Refused++
+			w.record(n, input{true, c.Base, c.ID}, output{}, call)
+		default:
+			w.violate("change %s is %v: %v", c.ID, o.Code, o.Problems)
+		}
+		w.client(n)
+	}
+	w.lost(m, &done, func() { again("the machine died") })
+	m.drive()
+}
+
+func (w *world) unknown(n int, c agreement.Change, call int64) {
+	w.res.Unknown++
+	w.history = append(w.history, porcupine.Operation{ClientId: n + 100 + len(w.history), Input: input{true, c.Base, c.ID},
+		Call: call, Output: output{unknown: true}, Return: 1 << 60})
+	w.client(n)
+}
+
+func (w *world) record(n int, in input, out output, call int64) {
+	w.history = append(w.history, porcupine.Operation{ClientId: n, Input: in, Call: call, Output: out, Return: w.now})
+}
+
+// finale looks at everything once all is well again.
+func (w *world) finale() {
+	if len(w.res.Violations) > 0 {
+		return
+	}
+	for id, revision := range w.acked {
+		if w.byRev[revision] != id {
+			w.violate("change %s was acknowledged as revision %d, which is %q: lost", id, revision, w.byRev[revision])
+		}
+	}
+	lead := w.leader()
+	if lead == nil {
+		w.violate("there is no leader though all is well")
+		return
+	}
+	var first []byte
+	for _, m := range w.up() {
+		if !w.member(m) {
+			continue
+		}
+		if m.inst.State() == nil {
+			w.violate("%s has a vote and no state at the end", m.name)
+			return
+		}
+		b := m.inst.State().Encode()
+		if first == nil {
+			first = b
+		}
+		if !bytes.Equal(first, b) {
+			w.violate("%s has another state than others at the end", m.name)
+		}
+	}
+	ok := false
+	c := agreement.Change{ID: "last", Base: lead.inst.State().Newest().Revision, Document: document(1 << 20)}
+	t := lead.inst.Propose(c)
+	lead.answers[t] = func(a consensus.Answer) { ok = a.Err == nil && a.Outcome.Code == agreement.Accepted }
+	lead.drive()
+	w.run(100)
+	if !ok {
+		w.violate("the group takes no change though all is well")
+	}
+	// A change that its client gave up came into force some time or never. Where it did, the
+	// agreed order says as what; one that never did bears on nothing.
+	w.history = slices.DeleteFunc(w.history, func(o porcupine.Operation) bool {
+		return o.Output.(output).unknown && w.byID[o.Input.(input).id] == 0
+	})
+	for i := range w.history {
+		if o := &w.history[i]; o.Output.(output).unknown {
+			o.Output = output{accepted: true, revision: w.byID[o.Input.(input).id]}
+		}
+	}
+	slices.SortStableFunc(w.history, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
+	switch porcupine.CheckOperationsTimeout(model, w.history, time.Minute) {
+	case porcupine.Illegal:
+		w.violate("what clients saw can't be put in one order")
+	case porcupine.Unknown:
+		w.violate("whether what clients saw can be put in one order was not found out in a minute")
+	}
+}
--- /dev/null
+++ b/internal/prove/world.go
@@ -0,0 +1,538 @@
+// Package prove tries to break the agreement: whole groups of instances in virtual time,
+// on disks that lose what was not synced and a network that loses, delays, repeats and
+// reorders, all drawn from a seed; and real processes that are killed.
+//
+// A seed is a whole story. The same seed plays the same story, so that a failure found
+// at night can be looked at in the morning.
+package prove
+
+import (
+	"cmp"
+	"container/heap"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sirupsen/logrus"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/schema"
+	"moorstack/internal/store"
+	"moorstack/internal/store/faultfs"
+)
+
+// Options are what a story is told by.
+type Options struct {
+	Instances int
+	Seed      uint64
+	Steps     int       // of faults, each some ticks long
+	Trace     io.Writer // each event, a line; nil: none
+	// Broken acknowledges before it syncs. It is there to show that the checks find it.
+	Broken bool
+}
+
+// Result is what a story came to.
+type Result struct {
+	Seed       uint64         `json:"seed"`
+	Instances  int            `json:"instances"`
+	Events     int            `json:"events"`
+	Ticks      int64          `json:"ticks"`
+	Accepted   int            `json:"accepted"`
+	Refused    int            `json:"refused"`
+	Unknown    int            `json:"unknown"`
+	Reads      int            `json:"reads"`
+	Terms      uint64         `json:"terms"`
+	Faults     map[string]int `json:"faults"`
+	Violations []string       `json:"violations,omitempty"`
+}
+
+// unit is the world's least time; a tick has ten.
+const tick = 10
+
+type event struct {
+	at  int64
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+var errCrash = errors.New("the machine dies here")
+
+// machine is where an instance runs, or doesn't.
+type machine struct {
+	w        *world
+	name     string
+	fs       *faultfs.FS
+	inst     *consensus.Instance // nil while it is down
+	store    *store.Store
+	number   uint64
+	life     int // grows at each start: what an earlier life had on its way is dropped
+	pace     int64
+	dieIn    int // calls of the log until it dies; 0: it doesn't
+	told     uint64
+	applied  uint64
+	answers  map[consensus.Ticket]func(consensus.Answer)
+	unsynced int
+}
+
+type world struct {
+	o        Options
+	rng      *rand.Rand // the network's and the clients'
+	faults   *rand.Rand // the faults': a change of one doesn't shift the other
+	queue    events
+	now      int64
+	seq      int
+	machines []*machine
+	cut      map[[2]string]bool // from, to
+	loss     float64
+	res      Result
+	leaders  map[uint64]string   // by term
+	states   map[uint64][32]byte // the state's digest, by entry
+	byRev    map[uint64]string   // the change's id, by revision
+	byID     map[string]uint64   // and the other way round
+	acked    map[string]uint64   // what clients were told
+	history  []porcupine.Operation
+	made     int
+	calm     bool
+	log      *logrus.Logger
+	numbers  uint64
+}
+
+// Run plays one story to its end.
+func Run(o Options) Result {
+	if o.Steps == 0 {
+		o.Steps = 40
+	}
+	w := &world{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), faults: rand.New(rand.NewPCG(o.Seed, 2)),
+		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, states: map[uint64][32]byte{}, byRev: map[uint64]string{},
+		byID: map[string]uint64{}, acked: map[string]uint64{}, log: logrus.New(), numbers: 100}
+	w.log.SetOutput(io.Discard)
+	if o.Trace != nil {
+		w.log.SetOutput(o.Trace)
+		w.log.SetLevel(logrus.DebugLevel)
+		w.log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true})
+	}
+	w.res = Result{Seed: o.Seed, Instances: o.Instances, Faults: map[string]int{}}
+	w.play()
+	w.res.Ticks = w.now / tick
+	for term := range w.leaders {
+		w.res.Terms = max(w.res.Terms, term)
+	}
+	return w.res
+}
+
+func (w *world) trace(format string, args ...any) {
+	if w.o.Trace != nil {
+		fmt.Fprintf(w.o.Trace, "%8.1f  %s\n", float64(w.now)/tick, fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	w.trace("VIOLATED: %s", text)
+	if len(w.res.Violations) < 5 {
+		w.res.Violations = append(w.res.Violations, text)
+	}
+}
+
+func (w *world) after(d int64, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(d, 1), w.seq, f})
+}
+
+// run lets the world go on for some time, or until it is broken.
+func (w *world) run(ticks int64) {
+	for end := w.now + ticks*tick; len(w.queue) > 0 && w.queue[0].at <= end && len(w.res.Violations) == 0; {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		w.res.Events++
+		e.f()
+	}
+}
+
+// play is the story: a group is made, faults come and go, and at the end all is well
+// again and everything is looked at.
+func (w *world) play() {
+	for n := range w.o.Instances {
+		w.add(fmt.Sprintf("n%d", n+1))
+	}
+	first := w.machines[0]
+	if err := first.inst.Bootstrap("sim", "a:n1", document(0), 0); err != nil {
+		w.violate("bootstrap: %v", err)
+		return
+	}
+	first.drive()
+	for _, m := range w.machines[1:] {
+		w.enter(m)
+	}
+	for n := range 3 {
+		w.client(n)
+	}
+	for range w.o.Steps {
+		w.fault()
+		w.run(int64(5 + w.faults.IntN(60)))
+		if len(w.res.Violations) > 0 {
+			return
+		}
+	}
+	w.heal()
+	w.calm = true
+	w.run(400)
+	w.finale()
+}
+
+// document is a valid one that is unlike others.
+func document(n int) *agreement.Document {
+	return &agreement.Document{Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Aim: 1e9,
+		Worth: float64(n)}}}
+}
+
+func (w *world) add(name string) *machine {
+	m := &machine{w: w, name: name, fs: faultfs.New(w.o.Seed<<8 + uint64(len(w.machines))),
+		pace: tick + int64(w.faults.IntN(5)) - 2}
+	w.machines = append(w.machines, m)
+	m.start()
+	return m
+}
+
+// start begins a life of the machine, from what its disk has.
+func (m *machine) start() {
+	if m.inst != nil {
+		return
+	}
+	w := m.w
+	m.life++
+	m.told, m.applied, m.dieIn = 0, 0, 0
+	m.answers = map[consensus.Ticket]func(consensus.Answer){}
+	saved := consensus.NewSaved()
+	var err error
+	m.store, err = store.Open("/d", store.Options{FS: m.fs, SegmentBytes: 20_000}, saved.Image, saved.Record)
+	if err != nil {
+		if m.fs.Room >= 0 {
+			m.again() // there was no room to begin
+			return
+		}
+		w.violate("%s can't open its store: %v", m.name, err)
+		return
+	}
+	w.numbers++
+	m.inst, err = consensus.New(consensus.Config{SnapshotEvery: 25, KeepEntries: 5, Seed: w.o.Seed<<16 + uint64(m.life),
+		Log: w.log.WithField("at", m.name)}, saved, w.numbers, m.name)
+	if err != nil {
+		w.violate("%s can't start: %v", m.name, err)
+		return
+	}
+	m.number, _, _ = m.inst.Identity()
+	w.trace("%s starts as %x", m.name, m.number)
+	m.drive()
+	m.beat(m.life)
+}
+
+func (m *machine) beat(life int) {
+	m.w.after(m.pace, func() {
+		if m.life == life && m.inst != nil {
+			m.inst.Tick()
+			m.drive()
+			m.beat(life)
+		}
+	})
+}
+
+// again starts the machine after a while.
+func (m *machine) again() {
+	m.w.after(int64(20+m.w.faults.IntN(300)), func() {
+		m.fs.Room = -1
+		m.start()
+	})
+}
+
+// die ends a life: with the power, or of the process alone.
+func (m *machine) die(power bool) {
+	if m.inst == nil {
+		return
+	}
+	m.w.trace("%s dies (power: %v)", m.name, power)
+	m.inst, m.store = nil, nil
+	m.life++
+	if power {
+		m.fs.Crash()
+	} else {
+		m.fs.Kill()
+	}
+	m.fs.Room = -1
+	m.again()
+}
+
+// The machine is its instance's log, and may die at each call of it.
+func (m *machine) Append(r ...store.Record) (uint64, error) {
+	if m.fatal() {
+		return 0, errCrash
+	}
+	return m.store.Append(r...)
+}
+
+func (m *machine) Sync() error {
+	if m.fatal() {
+		return errCrash
+	}
+	if m.w.o.Broken {
+		// Acknowledged now, synced some time later.
+		if m.unsynced++; m.unsynced%20 != 0 {
+			return nil
+		}
+	}
+	return m.store.Sync()
+}
+
+func (m *machine) Snapshot(b []byte) error {
+	if m.fatal() {
+		return errCrash
+	}
+	return m.store.Snapshot(b)
+}
+
+func (m *machine) fatal() bool {
+	if m.dieIn > 0 {
+		m.dieIn--
+		return m.dieIn == 0
+	}
+	return false
+}
+
+// drive has the instance do what it must after an input, and checks it.
+func (m *machine) drive() {
+	if m.inst == nil {
+		return
+	}
+	life := m.life
+	err := consensus.Drive(m.inst, m, func(e consensus.Effects) {
+		if m.life == life {
+			m.carry(e)
+		}
+	})
+	if m.life != life {
+		return
+	}
+	if err != nil {
+		m.w.trace("%s: %v", m.name, err)
+		m.die(errors.Is(err, errCrash))
+		return
+	}
+	m.check()
+}
+
+func (m *machine) carry(e consensus.Effects) {
+	for _, r := range e.Revisions {
+		if r.Revision <= m.told {
+			m.w.violate("%s tells revision %d after %d", m.name, r.Revision, m.told)
+		}
+		m.told = r.Revision
+		m.w.agreed(m.name, r.Revision, r.ID)
+	}
+	for _, msg := range e.Messages {
+		if m.fatal() { // with some of the messages gone out
+			m.w.after(1, func(life int) func() {
+				return func() {
+					if m.life == life {
+						m.die(true)
+					}
+				}
+			}(m.life))
+			return
+		}
+		m.w.send(m, msg)
+	}
+	for _, a := range e.Answers {
+		if f := m.answers[a.Ticket]; f != nil {
+			delete(m.answers, a.Ticket)
+			f(a)
+		}
+	}
+}
+
+// check looks at the instance after each of its steps.
+func (m *machine) check() {
+	s := m.inst.Status()
+	w := m.w
+	if s.Halted != nil {
+		w.violate("%s halts: %v", m.name, s.Halted)
+		return
+	}
+	if s.Role == "leader" {
+		if was := w.leaders[s.Term]; was != "" && was != fmt.Sprintf("%x", m.number) {
+			w.violate("term %d has the leaders %s and %x", s.Term, was, m.number)
+		}
+		if w.leaders[s.Term] == "" {
+			w.trace("%s leads in term %d", m.name, s.Term)
+		}
+		w.leaders[s.Term] = fmt.Sprintf("%x", m.number)
+	}
+	if s.Applied < m.applied {
+		w.violate("%s applied entry %d and then %d", m.name, m.applied, s.Applied)
+	}
+	if s.Applied != m.applied && m.inst.State() != nil {
+		m.applied = s.Applied
+		sum := sha256.Sum256(m.inst.State().Encode())
+		if was, ok := w.states[s.Applied]; ok && was != sum {
+			w.violate("%s has another state than others after entry %d", m.name, s.Applied)
+		}
+		w.states[s.Applied] = sum
+	}
+}
+
+// agreed notes that a revision is in force somewhere.
+func (w *world) agreed(at string, revision uint64, id string) {
+	if was, ok := w.byRev[revision]; ok && was != id {
+		w.violate("revision %d is change %s, and %s at %s", revision, was, id, at)
+	}
+	if was, ok := w.byID[id]; ok && was != revision {
+		w.violate("change %s is revision %d, and %d at %s: applied twice", id, was, revision, at)
+	}
+	w.byRev[revision], w.byID[id] = id, revision
+}
+
+func (w *world) at(number uint64) *machine {
+	for _, m := range w.machines {
+		if m.number == number && m.inst != nil {
+			return m
+		}
+	}
+	return nil
+}
+
+// send carries a message, as a bad network does. It goes as bytes, so that instances
+// share nothing.
+func (w *world) send(from *machine, msg *pb.Message) {
+	raw, err := proto.Marshal(msg)
+	if err != nil {
+		w.violate("a message that can't be written: %v", err)
+		return
+	}
+	if msg.GetType() == pb.MsgSnap {
+		sender, life := from, from.life
+		ok := w.at(msg.GetTo()) != nil
+		w.after(15, func() {
+			if sender.life == life && sender.inst != nil {
+				sender.inst.SnapshotSent(msg.GetTo(), ok)
+				sender.drive()
+			}
+		})
+	}
+	copies := 1
+	if !w.calm {
+		if w.rng.Float64() < w.loss {
+			return
+		}
+		if w.rng.IntN(20) == 0 {
+			copies = 2
+		}
+	}
+	for range copies {
+		delay := int64(1 + w.rng.IntN(6))
+		if !w.calm && w.rng.IntN(30) == 0 {
+			delay += int64(w.rng.IntN(400)) // and others overtake it
+		}
+		w.after(delay, func() {
+			to := w.at(msg.GetTo())
+			if to == nil || w.cut[[2]string{from.name, to.name}] {
+				return
+			}
+			got := &pb.Message{}
+			if err := proto.Unmarshal(raw, got); err != nil {
+				w.violate("a message that can't be read: %v", err)
+				return
+			}
+			if err := to.inst.Step(got); err != nil {
+				w.trace("%s refuses %v of %s: %v", to.name, got.GetType(), from.name, err)
+			}
+			to.drive()
+		})
+	}
+}
+
+// leader is the machine that leads in the highest term, if any does.
+func (w *world) leader() *machine {
+	var best *machine
+	for _, m := range w.machines {
+		if m.inst != nil {
+			if s := m.inst.Status(); s.Role == "leader" && (best == nil || s.Term > best.inst.Status().Term) {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+// enter brings a machine into the group: as a learner, then with a vote, however often
+// it takes.
+func (w *world) enter(m *machine) {
+	retry := func() { w.after(int64(30+w.rng.IntN(40)), func() { w.enter(m) }) }
+	lead := w.leader()
+	if m.inst == nil || lead == nil {
+		retry()
+		return
+	}
+	if _, _, cluster := m.inst.Identity(); cluster == "" {
+		if err := m.inst.Join("sim"); err != nil {
+			w.violate("%s can't join: %v", m.name, err)
+			return
+		}
+		m.drive()
+	}
+	var op *schema.Operation
+	for _, s := range lead.inst.Status().Members {
+		switch {
+		case s.ID == m.number && s.Voter:
+			return
+		case s.ID == m.number:
+			op = &schema.Operation{Kind: schema.Operation_PROMOTE, Name: m.name}
+		case s.Name == m.name:
+			op = &schema.Operation{Kind: schema.Operation_REMOVE, Name: m.name} // its life before the wipe
+		}
+	}
+	if op == nil {
+		op = &schema.Operation{Kind: schema.Operation_ADD, Name: m.name, Address: "a:" + m.name}
+	}
+	w.operate(lead, op, m.number)
+	retry()
+}
+
+func (w *world) operate(lead *machine, op *schema.Operation, number uint64) {
+	w.trace("%s is asked: %v %s %s", lead.name, op.Kind, op.Name, op.By)
+	t := lead.inst.Operate(op, number)
+	lead.answers[t] = func(a consensus.Answer) { w.trace("%v %s: %v", op.Kind, op.Name, a.Err) }
+	lead.drive()
+}
+
+// up lists the machines that run.
+func (w *world) up() []*machine {
+	var list []*machine
+	for _, m := range w.machines {
+		if m.inst != nil {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
