Serve as an instance of a group: peers over mutual TLS, control and commands

The agreement had no sockets, clock or commands, so nobody could run it.

consensus.Runner drives an instance on one goroutine with its disk; internal/peers carries messages over gRPC under mutual TLS, a bounded queue a peer, and refuses foreign names, groups and numbers; internal/control is the operators' service on a unix socket and, if configured, a TLS address with two roles; internal/node.Instance puts agreed revisions in force at all fronts as one whole. Errors in TOML files name file, line and key.

--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -56,22 +56,22 @@
 type Class struct {
 	Name     string   `toml:"name" json:"name"`
 	Effect   string   `toml:"effect" json:"effect"`                           // retryable, dedup or fragile
-	KeyScope string   `toml:"key_scope,omitempty" json:"key_scope,omitempty"` // all, zone or cell; for dedup
-	Window   Duration `toml:"window,omitempty" json:"window,omitempty"`       // for how long repeats are dropped; for dedup
+	KeyScope string   `toml:"key_scope,omitempty,omitzero" json:"key_scope,omitempty"` // all, zone or cell; for dedup
+	Window   Duration `toml:"window,omitempty,omitzero" json:"window,omitempty"`       // for how long repeats are dropped; for dedup
 	GiveUp   Duration `toml:"give_up" json:"give_up"`                         // the client's patience over all its tries
 	Aim      Duration `toml:"aim" json:"aim"`                                 // an answer within it earns the whole worth
 	// Stretch: the aim grows by this many times the job's own work.
-	Stretch   float64 `toml:"aim_stretch,omitempty" json:"aim_stretch,omitempty"`
+	Stretch   float64 `toml:"aim_stretch,omitempty,omitzero" json:"aim_stretch,omitempty"`
 	Worth     float64 `toml:"worth" json:"worth"`
-	LateShare float64 `toml:"late_share,omitempty" json:"late_share,omitempty"` // of the worth, after the aim
-	Attempts  int     `toml:"attempts,omitempty" json:"attempts,omitempty"`     // 0: as many as the deployment allows
+	LateShare float64 `toml:"late_share,omitempty,omitzero" json:"late_share,omitempty"` // of the worth, after the aim
+	Attempts  int     `toml:"attempts,omitempty,omitzero" json:"attempts,omitempty"`     // 0: as many as the deployment allows
 }
 
 // Tenant is a team that shares the workers.
 type Tenant struct {
 	Name      string  `toml:"name" json:"name"`
 	Share     float64 `toml:"share" json:"share"`
-	Allowance float64 `toml:"allowance_per_s,omitempty" json:"allowance_per_s,omitempty"` // requests a second, over all instances
+	Allowance float64 `toml:"allowance_per_s,omitempty,omitzero" json:"allowance_per_s,omitempty"` // requests a second, over all instances
 }
 
 // Encode gives the document's one form in bytes: equal documents have equal bytes.
--- /dev/null
+++ b/internal/consensus/runner.go
@@ -0,0 +1,380 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/schema"
+	"moorstack/internal/store"
+)
+
+// Transport carries messages to other instances. It must not block: a message that can't
+// be carried now is dropped, and Raft sends what matters again.
+type Transport interface {
+	Send(to agreement.Member, m *pb.Message)
+}
+
+// RunnerConfig is how a Runner is run.
+type RunnerConfig struct {
+	Config
+	Name      string
+	Dir       string
+	Tick      time.Duration // 100 ms, if 0
+	Transport Transport
+	// Revision is told each revision that comes into force, in order, from the runner's goroutine.
+	Revision func(agreement.Revision)
+}
+
+// Runner is an instance with a clock, a disk and a network. One goroutine drives it.
+type Runner struct {
+	cfg    RunnerConfig
+	inst   *Instance
+	store  *store.Store
+	calls  chan func()
+	inbox  chan *pb.Message
+	ended  chan struct{}
+	stop   context.CancelFunc
+	answer map[Ticket]func(Answer)
+	reach  map[uint64]agreement.Member // who has sent something and isn't known as a member here
+	status atomic.Pointer[Status]
+	failed error // why it has ended; good once ended is closed
+
+	mu       sync.Mutex
+	watchers map[chan struct{}]bool
+	dropped  atomic.Uint64
+	refused  atomic.Uint64
+}
+
+// Open opens the instance's directory. Nothing happens before Start.
+func Open(cfg RunnerConfig) (*Runner, error) {
+	if cfg.Tick <= 0 {
+		cfg.Tick = 100 * time.Millisecond
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	r := &Runner{cfg: cfg, calls: make(chan func(), 64), inbox: make(chan *pb.Message, 1024),
+		ended: make(chan struct{}), answer: map[Ticket]func(Answer){}, reach: map[uint64]agreement.Member{},
+		watchers: map[chan struct{}]bool{}}
+	saved := NewSaved()
+	var err error
+	if r.store, err = store.Open(cfg.Dir, store.Options{SegmentBytes: 16 << 20}, saved.Image, saved.Record); err != nil {
+		return nil, err
+	}
+	if tear := r.store.Torn(); tear != nil {
+		cfg.Log.WithField("torn", tear.String()).Warn("the end of the log was cut off: it was never acknowledged")
+	}
+	if r.inst, err = New(cfg.Config, saved, rand.Uint64()>>1|1, cfg.Name); err != nil {
+		r.store.Close()
+		return nil, err
+	}
+	r.publish()
+	return r, nil
+}
+
+// Agreed is the configuration that the directory has, for use before Start.
+func (r *Runner) Agreed() (agreement.Revision, bool) {
+	if r.inst.State() == nil {
+		return agreement.Revision{}, false
+	}
+	return r.inst.State().Newest(), true
+}
+
+// Start begins to take part.
+func (r *Runner) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	go r.run(ctx)
+}
+
+// Stop ends the instance and closes its directory.
+func (r *Runner) Stop() error {
+	r.stop()
+	<-r.ended
+	return r.store.Close()
+}
+
+// Ended is closed when the runner has ended, also by itself: then Err says why.
+func (r *Runner) Ended() <-chan struct{} { return r.ended }
+
+// Err says why the runner ended by itself, once Ended is closed.
+func (r *Runner) Err() error { return r.failed }
+
+func (r *Runner) run(ctx context.Context) {
+	defer func() {
+		close(r.ended)
+		for _, f := range r.answer {
+			f(Answer{Err: ErrUnknown})
+		}
+	}()
+	ticker := time.NewTicker(r.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		if err := Drive(r.inst, r.store, r.carry); err != nil {
+			r.failed = err
+			r.cfg.Log.WithError(err).Error("the agreement has stopped here: its disk fails")
+			return
+		}
+		r.publish()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.inst.Tick()
+		case f := <-r.calls:
+			f()
+		case m := <-r.inbox:
+			r.step(m)
+			// What came meanwhile shares the next sync.
+			for range len(r.inbox) {
+				r.step(<-r.inbox)
+			}
+		}
+	}
+}
+
+func (r *Runner) step(m *pb.Message) {
+	if err := r.inst.Step(m); err != nil {
+		r.refused.Add(1)
+		r.cfg.Log.WithError(err).WithField("from", fmt.Sprintf("%x", m.GetFrom())).Debug("a message is refused")
+	}
+}
+
+func (r *Runner) carry(e Effects) {
+	for _, rev := range e.Revisions {
+		r.cfg.Log.WithFields(logrus.Fields{"revision": rev.Revision, "author": rev.Author, "change": rev.ID}).
+			Info("a configuration is agreed on")
+		if r.cfg.Revision != nil {
+			r.cfg.Revision(rev)
+		}
+	}
+	for _, m := range e.Messages {
+		to, ok := agreement.Member{}, false
+		if s := r.inst.State(); s != nil {
+			to, ok = s.Member(m.GetTo())
+		}
+		if !ok {
+			to, ok = r.reach[m.GetTo()]
+		}
+		if !ok {
+			r.dropped.Add(1)
+			continue
+		}
+		r.cfg.Transport.Send(to, m)
+	}
+	for _, a := range e.Answers {
+		if f := r.answer[a.Ticket]; f != nil {
+			delete(r.answer, a.Ticket)
+			f(a)
+		}
+	}
+}
+
+// publish makes the status known and wakes those who watch, when it has changed.
+func (r *Runner) publish() {
+	s := r.inst.Status()
+	was := r.status.Swap(&s)
+	if was != nil && (was.Role != s.Role || was.Leader != s.Leader) && r.inst.rn != nil {
+		r.cfg.Log.WithFields(logrus.Fields{"role": s.Role, "leader": r.nameOf(s.Leader), "term": s.Term}).Info("the roles have changed")
+	}
+	if was == nil || was.Revision != s.Revision || was.Applied != s.Applied {
+		r.mu.Lock()
+		for c := range r.watchers {
+			select {
+			case c <- struct{}{}:
+			default:
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (r *Runner) nameOf(id uint64) string {
+	if s := r.inst.State(); s != nil {
+		if m, ok := s.Member(id); ok {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// Status says how the instance stood after its last step. It never waits.
+func (r *Runner) Status() Status { return *r.status.Load() }
+
+// Counters are what has been dropped or refused.
+func (r *Runner) Counters() map[string]uint64 {
+	return map[string]uint64{"messages_dropped_inbound": r.dropped.Load(), "messages_refused": r.refused.Load()}
+}
+
+// Deliver takes a message of another instance. It never waits: where more has come than
+// can be taken, the message is dropped and counted.
+func (r *Runner) Deliver(from agreement.Member, m *pb.Message) {
+	if s := r.Status(); s.Revision == 0 {
+		r.post(func() {
+			if len(r.reach) < 64 {
+				r.reach[from.ID] = from
+			}
+		})
+	}
+	select {
+	case r.inbox <- m:
+	default:
+		r.dropped.Add(1)
+	}
+}
+
+// post runs f on the runner's goroutine, or not at all if that is busy or has ended.
+func (r *Runner) post(f func()) {
+	select {
+	case r.calls <- f:
+	default:
+	}
+}
+
+// do runs f on the runner's goroutine and waits.
+func (r *Runner) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case r.calls <- func() { f(); close(done) }:
+	case <-r.ended:
+		return ErrHalted
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-r.ended:
+		return ErrHalted
+	}
+}
+
+// ask makes a request and waits for its answer.
+func (r *Runner) ask(ctx context.Context, f func() Ticket) (Answer, error) {
+	c := make(chan Answer, 1)
+	if err := r.do(ctx, func() { r.answer[f()] = func(a Answer) { c <- a } }); err != nil {
+		return Answer{}, err
+	}
+	select {
+	case a := <-c:
+		return a, nil
+	case <-ctx.Done():
+		return Answer{}, ErrUnknown
+	}
+}
+
+// Propose asks for a change.
+func (r *Runner) Propose(ctx context.Context, c agreement.Change) (agreement.Outcome, error) {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Propose(c) })
+	if err != nil {
+		return agreement.Outcome{}, err
+	}
+	return a.Outcome, a.Err
+}
+
+// Check says what would become of a change now, as far as this instance knows.
+func (r *Runner) Check(ctx context.Context, c agreement.Change) (o agreement.Outcome, err error) {
+	err = r.View(ctx, func(s *agreement.State) { o = s.Check(c) })
+	return o, err
+}
+
+// Barrier waits until this instance has all that was agreed on before the call.
+func (r *Runner) Barrier(ctx context.Context) error {
+	a, err := r.ask(ctx, r.inst.Read)
+	if err != nil {
+		return err
+	}
+	return a.Err
+}
+
+// View calls f with the agreed state as far as this instance has it.
+func (r *Runner) View(ctx context.Context, f func(*agreement.State)) error {
+	err := ErrNoGroup
+	if bad := r.do(ctx, func() {
+		if s := r.inst.State(); s != nil {
+			err = nil
+			f(s)
+		}
+	}); bad != nil {
+		return bad
+	}
+	return err
+}
+
+// Operate changes the members or the leader, if this instance leads.
+func (r *Runner) Operate(ctx context.Context, op *schema.Operation, number uint64) error {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Operate(op, number) })
+	if err != nil {
+		return err
+	}
+	return a.Err
+}
+
+// Bootstrap makes a new group of this instance.
+func (r *Runner) Bootstrap(ctx context.Context, cluster, address string, first *agreement.Document, after uint64) error {
+	var err error
+	if bad := r.do(ctx, func() { err = r.inst.Bootstrap(cluster, address, first, after) }); bad != nil {
+		return bad
+	}
+	return err
+}
+
+// Join has this instance belong to a group, durably when it returns.
+func (r *Runner) Join(ctx context.Context, cluster string) error {
+	var err error
+	if bad := r.do(ctx, func() { err = r.inst.Join(cluster) }); bad != nil || err != nil {
+		return first(bad, err)
+	}
+	// The loop writes before it takes the next call.
+	return r.do(ctx, func() {})
+}
+
+// Compact writes a snapshot now.
+func (r *Runner) Compact(ctx context.Context) error {
+	if err := r.do(ctx, r.inst.Compact); err != nil {
+		return err
+	}
+	return r.do(ctx, func() {})
+}
+
+// SnapshotSent, Unreachable and ToldRemoved are the transport's word on what became of
+// messages.
+func (r *Runner) SnapshotSent(to uint64, ok bool) { r.post(func() { r.inst.SnapshotSent(to, ok) }) }
+
+// Unreachable says that an instance can't be reached.
+func (r *Runner) Unreachable(id uint64) { r.post(func() { r.inst.Unreachable(id) }) }
+
+// ToldRemoved says that another member knows this one to be removed.
+func (r *Runner) ToldRemoved() { r.post(r.inst.ToldRemoved) }
+
+// Watch gives a channel that is written to when the state has changed, and its end.
+func (r *Runner) Watch() (<-chan struct{}, func()) {
+	c := make(chan struct{}, 1)
+	c <- struct{}{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchers[c] = true
+	return c, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		maps.DeleteFunc(r.watchers, func(w chan struct{}, _ bool) bool { return w == c })
+	}
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,418 @@
+// Package control is the operators' service: gRPC on a unix socket, whose file's owner is
+// an operator, and where configured on an address under TLS with certificates of two
+// roles, reader and operator.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/keys"
+	"moorstack/internal/schema"
+)
+
+// Host is the instance that the service speaks for.
+type Host interface {
+	Runner() *consensus.Runner
+	Operate(context.Context, *schema.Operation) (*schema.Operated, error)
+	// Running says which revision the fronts run, and why not the agreed one.
+	Running() (revision uint64, problem string)
+	// First is the document that a new group begins with: what this instance's own settings say.
+	First() (*agreement.Document, error)
+	Address() string
+	Program() string
+	Counters() map[string]uint64
+	Tick() time.Duration
+}
+
+// MaxMessage bounds what is sent and taken: a backup is the largest.
+const MaxMessage = 64 << 20
+
+// patience is how long a request may take here.
+const patience = 10 * time.Second
+
+// readers may call these; everything else is for operators.
+var readers = map[string]bool{
+	schema.Control_GetConfig_FullMethodName: true,
+	schema.Control_History_FullMethodName:   true,
+	schema.Control_Watch_FullMethodName:     true,
+	schema.Control_Status_FullMethodName:    true,
+}
+
+// Server is the service.
+type Server struct {
+	schema.UnimplementedControlServer
+	host Host
+	log  logrus.FieldLogger
+	grpc []*grpc.Server
+}
+
+// New makes the service of a host.
+func New(host Host, log logrus.FieldLogger) *Server { return &Server{host: host, log: log} }
+
+func (s *Server) server(opts ...grpc.ServerOption) *grpc.Server {
+	g := grpc.NewServer(append(opts, grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
+		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+			if err := s.allow(ctx, info.FullMethod); err != nil {
+				return nil, err
+			}
+			return next(ctx, req)
+		}),
+		grpc.StreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+			if err := s.allow(ss.Context(), info.FullMethod); err != nil {
+				return err
+			}
+			return next(srv, ss)
+		}))...)
+	schema.RegisterControlServer(g, s)
+	s.grpc = append(s.grpc, g)
+	return g
+}
+
+// who is the caller and what it may do.
+func who(ctx context.Context) (string, keys.Role) {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return "", ""
+	}
+	if info, ok := p.AuthInfo.(credentials.TLSInfo); ok && len(info.State.PeerCertificates) > 0 {
+		c := info.State.PeerCertificates[0]
+		return c.Subject.CommonName, keys.RoleOf(c)
+	}
+	if p.Addr.Network() == "unix" {
+		return "socket", keys.Operator // who may open the file may do everything
+	}
+	return "", ""
+}
+
+func (s *Server) allow(ctx context.Context, method string) error {
+	name, role := who(ctx)
+	if role == keys.Operator || role == keys.Reader && readers[method] {
+		return nil
+	}
+	s.log.WithFields(logrus.Fields{"caller": name, "role": role, "method": method}).Warn("a call is refused")
+	return status.Errorf(codes.PermissionDenied, "%s is for operators; the certificate of %q is of the role %q", method, name, role)
+}
+
+// ServeSocket serves on a unix socket that only its owner can open.
+func (s *Server) ServeSocket(path string) error {
+	// Hazard: a socket's file outlives a process that was killed, and bars the next one.
+	// The directory's lock has made sure that there is no other instance.
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return fmt.Errorf("the control socket: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return err
+	}
+	g := s.server()
+	go g.Serve(l)
+	return nil
+}
+
+// ServeTLS serves on an address, to holders of operators' and readers' certificates.
+func (s *Server) ServeTLS(address string, k *keys.Store) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("the control address: %w", err)
+	}
+	g := s.server(grpc.Creds(credentials.NewTLS(k.Server(keys.Operator, keys.Reader))))
+	go g.Serve(l)
+	return nil
+}
+
+// Stop ends the service.
+func (s *Server) Stop() {
+	for _, g := range s.grpc {
+		g.Stop()
+	}
+}
+
+// failure is an error as the caller sees it.
+func failure(err error) error {
+	var refused *consensus.RefusedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refused):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, consensus.ErrUnknown) || errors.Is(err, context.DeadlineExceeded):
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	default:
+		return status.Error(codes.Unavailable, err.Error())
+	}
+}
+
+func revision(r agreement.Revision, document bool) *schema.Revision {
+	m := &schema.Revision{Revision: r.Revision, Id: r.ID, Author: r.Author, Note: r.Note, AtMs: r.AtMS}
+	if document {
+		m.Document = r.Document.Encode()
+	}
+	return m
+}
+
+// GetConfig implements schema.ControlServer.
+func (s *Server) GetConfig(ctx context.Context, in *schema.GetConfigRequest) (*schema.Revision, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	r := s.host.Runner()
+	if !in.Local {
+		if err := r.Barrier(ctx); err != nil {
+			return nil, failure(fmt.Errorf("%w; --local gives what this instance has", err))
+		}
+	}
+	var out *schema.Revision
+	err := r.View(ctx, func(st *agreement.State) {
+		if in.Revision == 0 {
+			out = revision(st.Newest(), true)
+		} else if rev, ok := st.At(in.Revision); ok {
+			out = revision(rev, true)
+		}
+	})
+	if err != nil {
+		return nil, failure(err)
+	}
+	if out == nil {
+		return nil, status.Errorf(codes.NotFound, "revision %d is not kept", in.Revision)
+	}
+	if in.Local {
+		st := r.Status()
+		out.Stale = st.CutOff
+		out.AgeS = (time.Duration(st.Contact) * s.host.Tick()).Seconds()
+	}
+	return out, nil
+}
+
+// History implements schema.ControlServer.
+func (s *Server) History(ctx context.Context, in *schema.HistoryRequest) (*schema.HistoryReply, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	out := &schema.HistoryReply{}
+	err := s.host.Runner().View(ctx, func(st *agreement.State) {
+		h := st.History()
+		out.Oldest = h[0].Revision
+		for i := len(h) - 1; i >= 0 && (in.Most == 0 || len(out.Revisions) < int(in.Most)); i-- {
+			out.Revisions = append(out.Revisions, revision(h[i], false))
+		}
+	})
+	return out, failure(err)
+}
+
+// Watch implements schema.ControlServer.
+func (s *Server) Watch(in *schema.WatchRequest, stream grpc.ServerStreamingServer[schema.Revision]) error {
+	r := s.host.Runner()
+	changed, end := r.Watch()
+	defer end()
+	next := in.From
+	for {
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-r.Ended():
+			return failure(consensus.ErrHalted)
+		case <-changed:
+		}
+		var due []*schema.Revision
+		oldest := uint64(0)
+		err := r.View(stream.Context(), func(st *agreement.State) {
+			h := st.History()
+			if next == 0 {
+				next = st.Newest().Revision
+			}
+			oldest = h[0].Revision
+			for _, rev := range h {
+				if rev.Revision >= next {
+					due = append(due, revision(rev, true))
+				}
+			}
+		})
+		if errors.Is(err, consensus.ErrNoGroup) {
+			continue
+		}
+		if err != nil {
+			return failure(err)
+		}
+		if next < oldest {
+			return status.Errorf(codes.OutOfRange, "revision %d is not kept any more; the oldest is %d", next, oldest)
+		}
+		for _, rev := range due {
+			if err := stream.Send(rev); err != nil {
+				return err
+			}
+			next = rev.Revision + 1
+		}
+	}
+}
+
+var codesOf = map[agreement.Code]schema.ProposeReply_Code{agreement.Accepted: schema.ProposeReply_ACCEPTED,
+	agreement.Conflict: schema.ProposeReply_CONFLICT, agreement.Invalid: schema.ProposeReply_INVALID,
+	agreement.TooLarge: schema.ProposeReply_TOO_LARGE, agreement.Unchanged: schema.ProposeReply_UNCHANGED}
+
+// Propose implements schema.ControlServer. What became of the change is in the reply; an
+// error means that nothing was tried.
+func (s *Server) Propose(ctx context.Context, in *schema.ProposeRequest) (*schema.ProposeReply, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	name, _ := who(ctx)
+	if len(in.Document) > agreement.MaxDocument {
+		return &schema.ProposeReply{Code: schema.ProposeReply_TOO_LARGE, Problems: []string{
+			fmt.Sprintf("the document has %d bytes, %d are allowed", len(in.Document), agreement.MaxDocument)}}, nil
+	}
+	doc, err := agreement.Decode(in.Document)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	c := agreement.Change{ID: in.Id, Base: in.Base, Author: name, Note: in.Note, At: time.Now(), Document: doc}
+	r := s.host.Runner()
+	if c.Base == 0 {
+		if err := r.Barrier(ctx); err == nil {
+			_ = r.View(ctx, func(st *agreement.State) { c.Base = st.Newest().Revision })
+		}
+	}
+	out := &schema.ProposeReply{}
+	if err := r.View(ctx, func(st *agreement.State) { compare(out, st, c) }); err != nil {
+		return nil, failure(err)
+	}
+	var o agreement.Outcome
+	if in.DryRun {
+		o, err = r.Check(ctx, c)
+	} else {
+		o, err = r.Propose(ctx, c)
+	}
+	switch {
+	case err == nil:
+		out.Code, out.Revision, out.Problems = codesOf[o.Code], o.Revision, o.Problems
+		if o.Code == agreement.Conflict {
+			// Another change may have come first only now.
+			_ = r.View(ctx, func(st *agreement.State) { compare(out, st, c) })
+		}
+	case errors.Is(err, consensus.ErrUnknown) || errors.Is(err, context.DeadlineExceeded):
+		out.Code, out.Problems = schema.ProposeReply_UNKNOWN, []string{consensus.ErrUnknown.Error()}
+	default:
+		st := r.Status()
+		out.Code, out.Revision, out.Problems = schema.ProposeReply_NO_LEADER, st.Revision, []string{err.Error()}
+	}
+	if !in.DryRun {
+		s.log.WithFields(logrus.Fields{"caller": name, "change": c.ID, "base": c.Base, "outcome": out.Code.String(),
+			"revision": out.Revision}).Info("a change was proposed")
+	}
+	return out, nil
+}
+
+// compare says what a change changes, and what others have changed since its base.
+func compare(out *schema.ProposeReply, st *agreement.State, c agreement.Change) {
+	out.Changes, out.Meanwhile = nil, nil
+	base, ok := st.At(c.Base)
+	if !ok {
+		return
+	}
+	out.Changes = agreement.Differences(base.Document, c.Document)
+	if newest := st.Newest(); newest.Revision != base.Revision {
+		out.Meanwhile = agreement.Differences(base.Document, newest.Document)
+	}
+}
+
+// Status implements schema.ControlServer. It answers whatever state the agreement is in.
+func (s *Server) Status(context.Context, *schema.StatusRequest) (*schema.StatusReply, error) {
+	st := s.host.Runner().Status()
+	out := &schema.StatusReply{Name: st.Name, Id: st.ID, Cluster: st.Cluster, Role: st.Role, Term: st.Term, Commit: st.Commit,
+		Applied: st.Applied, Revision: st.Revision, CutOff: st.CutOff && st.Cluster != "", Joint: st.Joint,
+		ContactS: (time.Duration(st.Contact) * s.host.Tick()).Seconds(), Counters: s.host.Counters(), Program: s.host.Program()}
+	out.Running, out.RunningProblem = s.host.Running()
+	select {
+	case <-s.host.Runner().Ended():
+		out.Role = "stopped"
+		if err := s.host.Runner().Err(); err != nil {
+			out.RunningProblem = err.Error()
+		}
+	default:
+	}
+	if st.Halted != nil {
+		out.Role, out.RunningProblem = "stopped", st.Halted.Error()
+	}
+	for _, m := range st.Members {
+		if m.ID == st.Leader {
+			out.Leader = m.Name
+		}
+		out.Members = append(out.Members, &schema.MemberStatus{Name: m.Name, Id: m.ID, Address: m.Address, Voter: m.Voter,
+			Active: m.Active, Match: m.Match, Known: m.Known})
+	}
+	return out, nil
+}
+
+// Init implements schema.ControlServer.
+func (s *Server) Init(ctx context.Context, in *schema.InitRequest) (*schema.StatusReply, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	doc, after, err := (*agreement.Document)(nil), uint64(0), error(nil)
+	if len(in.Backup) > 0 {
+		var b *Backup
+		if b, err = ReadBackup(in.Backup); err == nil {
+			newest := b.Revisions[len(b.Revisions)-1]
+			doc, after = newest.Document, newest.Revision
+		}
+	} else {
+		doc, err = s.host.First()
+	}
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	cluster, err := newCluster()
+	if err == nil {
+		err = s.host.Runner().Bootstrap(ctx, cluster, s.host.Address(), doc, after)
+	}
+	if err == nil {
+		err = s.host.Runner().Barrier(ctx)
+	}
+	if err != nil {
+		return nil, failure(err)
+	}
+	s.log.WithField("group", cluster).Info("a new group was made")
+	return s.Status(ctx, nil)
+}
+
+// Operate implements schema.ControlServer.
+func (s *Server) Operate(ctx context.Context, op *schema.Operation) (*schema.Operated, error) {
+	return s.host.Operate(ctx, op)
+}
+
+// Snapshot implements schema.ControlServer.
+func (s *Server) Snapshot(ctx context.Context, _ *schema.SnapshotRequest) (*schema.Operated, error) {
+	if err := s.host.Runner().Compact(ctx); err != nil {
+		return nil, failure(err)
+	}
+	return &schema.Operated{Text: fmt.Sprintf("the log of %s begins anew after entry %d", s.host.Runner().Status().Name,
+		s.host.Runner().Status().Applied)}, nil
+}
+
+// Backup implements schema.ControlServer.
+func (s *Server) Backup(ctx context.Context, _ *schema.BackupRequest) (*schema.BackupReply, error) {
+	ctx, stop := context.WithTimeout(ctx, patience)
+	defer stop()
+	r := s.host.Runner()
+	if err := r.Barrier(ctx); err != nil {
+		return nil, failure(err)
+	}
+	out := &schema.BackupReply{}
+	err := r.View(ctx, func(st *agreement.State) {
+		out.Backup, out.Revision = WriteBackup(st.Cluster(), st.History()), st.Newest().Revision
+	})
+	return out, failure(err)
+}
--- /dev/null
+++ b/internal/node/instance.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdnet "net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"moorstack/brain"
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/control"
+	"moorstack/internal/keys"
+	"moorstack/internal/peers"
+	"moorstack/internal/schema"
+)
+
+// Instance is a node that agrees with others on its configuration: a Node, its part in
+// the agreement, the peers' network and the operators' service.
+type Instance struct {
+	cfg     *ServeConfig
+	log     logrus.FieldLogger
+	program string
+	node    *Node
+	own     brain.Settings // what this instance's own files say
+	runner  *consensus.Runner
+	network *peers.Network
+	peers   *grpc.Server
+	control *control.Server
+	latest  chan agreement.Revision // of which only the newest counts
+
+	mu      sync.Mutex
+	running uint64
+	problem string
+}
+
+var _ control.Host = (*Instance)(nil)
+
+// NewInstance builds an instance and opens all that listens.
+func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
+	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1)}
+	k, err := keys.Open(cfg.Keys, log)
+	if err != nil {
+		return nil, err
+	}
+	if name, role := k.Name(); name != cfg.Name || role != keys.Instance {
+		return nil, fmt.Errorf("%s is the certificate of %s %q; wanted is that of instance %q", cfg.Keys.Cert, role, name, cfg.Name)
+	}
+	platformCfg, faktoryCfg, err := cfg.fronts()
+	if err != nil {
+		return nil, err
+	}
+	if i.own, err = platformCfg.Settings.Brain(); err != nil {
+		return nil, err
+	}
+	i.network = peers.New(k, cfg.Name, cfg.Peers.Listen, program, log.WithField("part", "peers"))
+	i.runner, err = consensus.Open(consensus.RunnerConfig{
+		Config: consensus.Config{Log: log.WithField("part", "agreement")}, Name: cfg.Name,
+		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
+		Revision: i.agreed})
+	if err != nil {
+		return nil, err
+	}
+	i.network.Attach(i.runner)
+	if i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2}); err != nil {
+		return nil, errors.Join(err, i.runner.Stop())
+	}
+	// What was agreed on last holds from the first request on, also while this instance is
+	// cut off: the files' own word is older.
+	if r, ok := i.runner.Agreed(); ok {
+		i.apply(r, i.node.configure)
+	}
+	if err := i.listen(k); err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) listen(k *keys.Store) error {
+	l, err := stdnet.Listen("tcp", i.cfg.Peers.Listen)
+	if err != nil {
+		return fmt.Errorf("the peers' address: %w", err)
+	}
+	i.peers = i.network.Server()
+	i.control = control.New(i, i.log.WithField("part", "control"))
+	if err := i.control.ServeSocket(i.cfg.Control.Socket); err != nil {
+		return err
+	}
+	if i.cfg.Control.Listen != "" {
+		if err := i.control.ServeTLS(i.cfg.Control.Listen, k); err != nil {
+			return err
+		}
+	}
+	i.runner.Start()
+	go i.peers.Serve(l)
+	return nil
+}
+
+// Run serves until the node has been asked to end.
+func (i *Instance) Run(signals <-chan os.Signal) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go i.keepUp(ctx)
+	err := i.node.Run(signals)
+	i.control.Stop()
+	i.peers.Stop()
+	i.network.Close()
+	return errors.Join(err, i.runner.Stop())
+}
+
+// agreed takes a revision from the runner, which must not wait for the node's loop.
+func (i *Instance) agreed(r agreement.Revision) {
+	for {
+		select {
+		case i.latest <- r:
+			return
+		default:
+		}
+		select {
+		case <-i.latest: // an older one that nobody has come to
+		default:
+		}
+	}
+}
+
+func (i *Instance) keepUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-i.latest:
+			i.apply(r, i.node.Configure)
+		}
+	}
+}
+
+// apply puts a revision in force at the fronts.
+func (i *Instance) apply(r agreement.Revision, configure func(brain.Settings) error) {
+	set, err := r.Document.Onto(i.own)
+	if err == nil {
+		err = configure(set)
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	entry := i.log.WithField("revision", r.Revision)
+	if err != nil {
+		// The fronts go on with what they have. Only files that differ between instances
+		// can bring this about, for the document itself was valid.
+		i.problem = fmt.Sprintf("revision %d: %v", r.Revision, err)
+		entry.WithError(err).Error("the agreed configuration can't be run here")
+		return
+	}
+	if r.Revision < i.running {
+		return
+	}
+	i.running, i.problem = r.Revision, ""
+	entry.Info("the fronts run this configuration")
+}
+
+// Runner implements control.Host.
+func (i *Instance) Runner() *consensus.Runner { return i.runner }
+
+// Operate implements control.Host.
+func (i *Instance) Operate(ctx context.Context, op *schema.Operation) (*schema.Operated, error) {
+	return i.network.Operate(ctx, op)
+}
+
+// Running implements control.Host.
+func (i *Instance) Running() (uint64, string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.running, i.problem
+}
+
+// First implements control.Host.
+func (i *Instance) First() (*agreement.Document, error) { return agreement.FromSettings(i.own), nil }
+
+// Address implements control.Host.
+func (i *Instance) Address() string { return i.cfg.Peers.Listen }
+
+// Program implements control.Host.
+func (i *Instance) Program() string { return i.program }
+
+// Tick implements control.Host.
+func (i *Instance) Tick() time.Duration { return time.Duration(i.cfg.Peers.Tick) }
+
+// Counters implements control.Host.
+func (i *Instance) Counters() map[string]uint64 {
+	c := i.network.Counters()
+	for name, n := range i.runner.Counters() {
+		c[name] = n
+	}
+	return c
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	Platform *platform.Config
 	Faktory  *faktory.Config // nil: this front is off
 	Log      logrus.FieldLogger
+	Procs    int // goroutines that run at once; 1, if 0: the loop does all the work
 }
 
 // Node is a node that serves.
@@ -58,7 +59,7 @@
 	}
 	// One goroutine does all the work of the fronts. The collector works harder before
 	// the memory limit, beyond which the node is killed, is near.
-	runtime.GOMAXPROCS(1)
+	runtime.GOMAXPROCS(max(o.Procs, 1))
 	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
 	loop, err := net.New()
 	if err != nil {
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"moorstack/internal/faktory"
+	"moorstack/internal/keys"
+	"moorstack/internal/platform"
+	"moorstack/internal/tomlfile"
+)
+
+// ServeConfig is the file that `moorstack serve` reads. Paths in it count from the file's
+// own folder.
+type ServeConfig struct {
+	Name string `toml:"name"` // this instance's, as in its certificate
+	Data string `toml:"data"` // the directory that it keeps its state in
+
+	Front struct {
+		Platform  string `toml:"platform"`  // JSON: the deployment's settings, and where the fronts listen
+		Listen    string `toml:"listen"`    // in place of the platform file's
+		Discovery string `toml:"discovery"` // likewise
+		Faktory   string `toml:"faktory"`   // TOML; the Faktory front is off without
+	} `toml:"front"`
+
+	Peers struct {
+		Listen string   `toml:"listen"` // where other instances reach this one
+		Tick   duration `toml:"tick"`   // the agreement's unit of time; the same at all instances
+	} `toml:"peers"`
+
+	Keys keys.Files `toml:"keys"`
+
+	Control struct {
+		Socket string `toml:"socket"`
+		Listen string `toml:"listen"` // TLS, for certificates of operators and readers; off if empty
+	} `toml:"control"`
+
+	path string
+	raw  []byte
+}
+
+type duration time.Duration
+
+func (d *duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = duration(v)
+	return err
+}
+
+// ReadServeConfig reads and checks the file.
+func ReadServeConfig(path string) (*ServeConfig, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &ServeConfig{path: path, raw: raw}
+	if err := tomlfile.Decode(path, raw, c); err != nil {
+		return nil, err
+	}
+	bad := func(key, format string, args ...any) error { return tomlfile.At(path, raw, key, format, args...) }
+	if err := keys.CheckName(c.Name); err != nil {
+		return nil, bad("name", "%v", err)
+	}
+	for _, need := range []struct{ key, value string }{{"data", c.Data}, {"front.platform", c.Front.Platform},
+		{"keys.ca", c.Keys.CA}, {"keys.cert", c.Keys.Cert}, {"keys.key", c.Keys.Key}, {"control.socket", c.Control.Socket}} {
+		if need.value == "" {
+			return nil, bad(need.key, "it must be given")
+		}
+	}
+	for _, a := range []struct {
+		key, value string
+		must       bool
+	}{{"peers.listen", c.Peers.Listen, true}, {"control.listen", c.Control.Listen, false},
+		{"front.listen", c.Front.Listen, false}, {"front.discovery", c.Front.Discovery, false}} {
+		if a.value == "" && !a.must {
+			continue
+		}
+		if at, err := netip.ParseAddrPort(a.value); err != nil || at.Port() == 0 {
+			return nil, bad(a.key, "%q is not an address and a port", a.value)
+		}
+	}
+	if c.Peers.Tick == 0 {
+		c.Peers.Tick = duration(100 * time.Millisecond)
+	}
+	if t := time.Duration(c.Peers.Tick); t < 10*time.Millisecond || t > 5*time.Second {
+		return nil, bad("peers.tick", "%v is not from 10ms to 5s", t)
+	}
+	for _, p := range []*string{&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
+		&c.Control.Socket} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(filepath.Dir(path), *p)
+		}
+	}
+	// The kernel keeps a socket's path in 108 bytes.
+	if len(c.Control.Socket) > 107 {
+		return nil, bad("control.socket", "the path has %d bytes, 107 are possible", len(c.Control.Socket))
+	}
+	return c, nil
+}
+
+// fronts reads the files that the configuration names for the fronts.
+func (c *ServeConfig) fronts() (*platform.Config, *faktory.Config, error) {
+	p, err := platform.ReadConfigFile(c.Front.Platform)
+	if err != nil {
+		return nil, nil, err
+	}
+	p.Name = c.Name
+	if c.Front.Listen != "" {
+		p.Listen = c.Front.Listen
+	}
+	if c.Front.Discovery != "" {
+		p.Discovery = c.Front.Discovery
+	}
+	var f *faktory.Config
+	if c.Front.Faktory != "" {
+		if f, err = faktory.ReadConfig(c.Front.Faktory); err != nil {
+			return nil, nil, err
+		}
+	}
+	if _, err := p.Settings.Brain(); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", c.Front.Platform, err)
+	}
+	return p, f, nil
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -25,6 +25,7 @@
 	Known     routeSet          `json:"known"`
 	Settings  settings.Settings `json:"settings"`
 
+	path    string // of the file, where it is not the platform's
 	written string // the address of discovery that the file gave last
 }
 
@@ -54,12 +55,26 @@
 	return c, c.check()
 }
 
-// readFile reads the file as it stands.
+// ReadConfigFile reads a file in the platform's form for a node that is not the platform's.
+func ReadConfigFile(path string) (*Config, error) {
+	c, err := readPath(path)
+	if err != nil {
+		return nil, err
+	}
+	c.path, c.written = path, c.Discovery
+	return c, c.check()
+}
+
+// readFile reads the platform's file as it stands.
 func readFile() (*Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("BALANCER_CONFIG is not set: it names the node's configuration")
 	}
+	return readPath(path)
+}
+
+func readPath(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
@@ -89,7 +104,12 @@
 // Hazard: BALANCER_DISCOVERY comes first at the start, and would hide for ever what
 // the file says now. So a reload goes by whether the file itself has changed.
 func (f *Front) Reload() {
-	next, err := readFile()
+	next, err := (*Config)(nil), error(nil)
+	if f.cfg.path != "" {
+		next, err = readPath(f.cfg.path)
+	} else {
+		next, err = readFile()
+	}
 	if err == nil {
 		err = next.check()
 	}
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,92 @@
+// Package tomlfile reads the files that people write for the program: TOML in which an
+// unknown key is an error. Every error names the file, and the line and key where there
+// is one.
+package tomlfile
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Error is what is wrong with a file.
+type Error struct {
+	Path string
+	Line int // from 1; 0: the whole file
+	Key  string
+	Text string
+}
+
+func (e *Error) Error() string {
+	at := e.Path
+	if e.Line > 0 {
+		at = fmt.Sprintf("%s:%d", e.Path, e.Line)
+	}
+	if e.Key != "" {
+		return fmt.Sprintf("%s: %s: %s", at, e.Key, e.Text)
+	}
+	return fmt.Sprintf("%s: %s", at, e.Text)
+}
+
+// Read reads a file into v.
+func Read(path string, v any) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return Decode(path, b, v)
+}
+
+// Decode reads a file's content into v.
+func Decode(path string, b []byte, v any) error {
+	meta, err := toml.Decode(string(b), v)
+	if err != nil {
+		var parse toml.ParseError
+		if errors.As(err, &parse) {
+			return &Error{Path: path, Line: parse.Position.Line, Key: parse.LastKey, Text: parse.Message}
+		}
+		return &Error{Path: path, Text: strings.TrimPrefix(err.Error(), "toml: ")}
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		key := unknown[0].String()
+		return &Error{Path: path, Line: Line(b, key), Key: key, Text: "this key is not known here"}
+	}
+	return nil
+}
+
+// At makes an error about a key of a file that has been read.
+func At(path string, b []byte, key, format string, args ...any) error {
+	return &Error{Path: path, Line: Line(b, key), Key: key, Text: fmt.Sprintf(format, args...)}
+}
+
+// Line finds the line on which a key, with its tables' names before it, stands first. It
+// is 0 where the key is not written in one of the usual ways.
+func Line(b []byte, key string) int {
+	table := ""
+	for i, line := range strings.Split(string(b), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			name, _, _ := strings.Cut(strings.Trim(line, "["), "]")
+			table = strings.TrimSpace(name)
+			if table == key {
+				return i + 1
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(line, "=")
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name = strings.Trim(strings.TrimSpace(name), `"'`)
+		if table != "" {
+			name = table + "." + name
+		}
+		if name == key {
+			return i + 1
+		}
+	}
+	return 0
+}
