--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1177,7 +1177,8 @@
 	if b.open["old"].class.Worth != 1 || b.open["new"].class.Worth != 7 {
 		t.Error("a request does not have the class that it came with")
 	}
-	for _, spoil := range []func(*Class){func(c *Class) { c.Effect = Unsafe }, func(c *Class) { c.Name = "d" },
+	for _, spoil := range []func(*Class){
+		func(c *Class) { c.Effect = Unsafe }, func(c *Class) { c.Name = "d" },
 		func(c *Class) { c.Window = time.Hour }, func(c *Class) { c.Deadline = -1 }} {
 		bad := set
 		bad.Classes = append([]Class(nil), set.Classes...)
--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -24,12 +24,14 @@
 replaced, a group restored from a backup, keys rotated. Exit codes are those of config.`,
 	}
 	r.addFlags(cmd)
-	for _, c := range []*cobra.Command{newClusterStatus(g, &r), newClusterInit(g, &r), newClusterBackup(g, &r),
+	for _, c := range []*cobra.Command{
+		newClusterStatus(g, &r), newClusterInit(g, &r), newClusterBackup(g, &r),
 		newClusterRestore(g, &r), newClusterSnapshot(g, &r)} {
 		cmd.AddCommand(c)
 	}
 	var force bool
-	operation := func(use, short, long string, n int, op func(args []string) *schema.Operation) *cobra.Command {
+	type made = func(args []string) *schema.Operation
+	operation := func(use, short, long string, n int, op made) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short, Long: long, Args: cobra.ExactArgs(n),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				o := op(args)
@@ -39,7 +41,11 @@
 					if err != nil {
 						return err
 					}
-					return g.print(cmd.OutOrStdout(), map[string]string{"done": done.Text}, table{rows: [][]string{{done.Text}}})
+					return g.print(
+						cmd.OutOrStdout(),
+						map[string]string{"done": done.Text},
+						table{rows: [][]string{{done.Text}}},
+					)
 				})
 			}}
 		addOutput(c, g)
@@ -62,17 +68,34 @@
 		}
 		return promoteWhenReady(cmd, g, &r, args[0])
 	}
-	operation("promote NAME", "Give an instance that has caught up a vote", "", 1, func(a []string) *schema.Operation {
-		return &schema.Operation{Kind: schema.Operation_PROMOTE, Name: a[0]}
-	})
-	remove := operation("remove NAME", "Take an instance out of the group, for ever", `remove takes the instance NAME out of the group. It is refused where the voters that
-are left and heard of would be no majority.`, 1, func(a []string) *schema.Operation {
-		return &schema.Operation{Kind: schema.Operation_REMOVE, Name: a[0]}
-	})
-	replace := operation("replace OLD NEW", "Have NEW, which has caught up, take the vote of OLD in one change", "", 2,
+	operation(
+		"promote NAME",
+		"Give an instance that has caught up a vote",
+		"",
+		1,
+		func(a []string) *schema.Operation {
+			return &schema.Operation{Kind: schema.Operation_PROMOTE, Name: a[0]}
+		},
+	)
+	remove := operation(
+		"remove NAME",
+		"Take an instance out of the group, for ever",
+		`remove takes the instance NAME out of the group. It is refused where the voters that
+are left and heard of would be no majority.`,
+		1,
+		func(a []string) *schema.Operation {
+			return &schema.Operation{Kind: schema.Operation_REMOVE, Name: a[0]}
+		},
+	)
+	replace := operation(
+		"replace OLD NEW",
+		"Have NEW, which has caught up, take the vote of OLD in one change",
+		"",
+		2,
 		func(a []string) *schema.Operation {
 			return &schema.Operation{Kind: schema.Operation_REPLACE, Name: a[0], By: a[1]}
-		})
+		},
+	)
 	for _, c := range []*cobra.Command{remove, replace} {
 		c.Flags().BoolVar(&force, "force", false, "also where no majority of those left is heard of")
 	}
@@ -91,7 +114,11 @@
 			if err != nil {
 				return err
 			}
-			return g.print(cmd.OutOrStdout(), map[string]string{"done": done.Text}, table{rows: [][]string{{done.Text}}})
+			return g.print(
+				cmd.OutOrStdout(),
+				map[string]string{"done": done.Text},
+				table{rows: [][]string{{done.Text}}},
+			)
 		})
 		if err == nil || time.Now().After(end) {
 			return err
@@ -144,7 +171,10 @@
 		t.add("PROBLEM", s.RunningProblem)
 	}
 	if s.CutOff {
-		t.add("CUT OFF", fmt.Sprintf("no leader for %.1f s; it serves with what was agreed on last", s.ContactS))
+		t.add(
+			"CUT OFF",
+			fmt.Sprintf("no leader for %.1f s; it serves with what was agreed on last", s.ContactS),
+		)
 	}
 	if s.Joint {
 		t.add("members", "a change of members is half-way; the group ends it by itself")
@@ -232,8 +262,22 @@
 				if err != nil {
 					return exitError{exitFailed, err}
 				}
-				return g.print(cmd.OutOrStdout(), map[string]any{"file": args[0], "revision": b.Revision},
-					table{rows: [][]string{{fmt.Sprintf("%s holds revision %d, %d bytes", args[0], b.Revision, len(b.Backup))}}})
+				return g.print(
+					cmd.OutOrStdout(),
+					map[string]any{"file": args[0], "revision": b.Revision},
+					table{
+						rows: [][]string{
+							{
+								fmt.Sprintf(
+									"%s holds revision %d, %d bytes",
+									args[0],
+									b.Revision,
+									len(b.Backup),
+								),
+							},
+						},
+					},
+				)
 			})
 		},
 	}
@@ -260,14 +304,27 @@
 			}
 			old := b.Revisions[len(b.Revisions)-1]
 			if f.note == "" {
-				f.note = fmt.Sprintf("restored from a backup of group %s, revision %d", b.Cluster, old.Revision)
+				f.note = fmt.Sprintf(
+					"restored from a backup of group %s, revision %d",
+					b.Cluster,
+					old.Revision,
+				)
 			}
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
 				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
 				if err != nil {
 					return err
 				}
-				return propose(ctx, cmd, g, c, &f, newest.Revision, old.Document, func(p string) string { return p })
+				return propose(
+					ctx,
+					cmd,
+					g,
+					c,
+					&f,
+					newest.Revision,
+					old.Document,
+					func(p string) string { return p },
+				)
 			})
 		},
 	}
@@ -287,7 +344,11 @@
 				if err != nil {
 					return err
 				}
-				return g.print(cmd.OutOrStdout(), map[string]string{"done": done.Text}, table{rows: [][]string{{done.Text}}})
+				return g.print(
+					cmd.OutOrStdout(),
+					map[string]string{"done": done.Text},
+					table{rows: [][]string{{done.Text}}},
+				)
 			})
 		},
 	}
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -94,7 +94,11 @@
 				}
 				out := cmd.OutOrStdout()
 				if rev.Stale {
-					fmt.Fprintf(cmd.ErrOrStderr(), "this instance is cut off; it has heard of no leader for %.1f s\n", rev.AgeS)
+					fmt.Fprintf(
+						cmd.ErrOrStderr(),
+						"this instance is cut off; it has heard of no leader for %.1f s\n",
+						rev.AgeS,
+					)
 				}
 				if g.output == "json" {
 					return g.print(out, f, table{})
@@ -231,7 +235,8 @@
 }
 
 func (f *proposeFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&f.id, "id", "", "the change's id; the same change again, say after exit code 6, has the same one")
+	cmd.Flags().
+		StringVar(&f.id, "id", "", "the change's id; the same again, say after exit code 6, has the same one")
 	cmd.Flags().StringVar(&f.note, "note", "", "why, for the history")
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "say what would come of it, and change nothing")
 }
@@ -261,7 +266,12 @@
 				base = f.base
 			}
 			if base == 0 {
-				return tomlfile.At(args[0], raw, "revision", "it must name the revision that the file was made from, as get prints it")
+				return tomlfile.At(
+					args[0],
+					raw,
+					"revision",
+					"it must name the revision that the file was made from, as get prints it",
+				)
 			}
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
 				return propose(ctx, cmd, g, c, &f, base, &doc.Document, func(problem string) string {
@@ -271,13 +281,22 @@
 		},
 	}
 	f.add(cmd)
-	cmd.Flags().Uint64Var(&f.base, "base", 0, "the revision that the file was made from, in place of the file's word")
+	cmd.Flags().
+		Uint64Var(&f.base, "base", 0, "the revision that the file was made from, in place of the file's word")
 	return cmd
 }
 
 // propose asks for a change and says what became of it.
-func propose(ctx context.Context, cmd *cobra.Command, g *global, c schema.ControlClient, f *proposeFlags, base uint64,
-	doc *agreement.Document, located func(string) string) error {
+func propose(
+	ctx context.Context,
+	cmd *cobra.Command,
+	g *global,
+	c schema.ControlClient,
+	f *proposeFlags,
+	base uint64,
+	doc *agreement.Document,
+	located func(string) string,
+) error {
 	id := f.id
 	if id == "" {
 		var err error
@@ -289,7 +308,10 @@
 	if err != nil {
 		return exitError{exitInvalid, err}
 	}
-	reply, err := c.Propose(ctx, &schema.ProposeRequest{Id: id, Base: base, Note: f.note, Document: b, DryRun: f.dryRun})
+	reply, err := c.Propose(
+		ctx,
+		&schema.ProposeRequest{Id: id, Base: base, Note: f.note, Document: b, DryRun: f.dryRun},
+	)
 	if err != nil {
 		return err
 	}
@@ -307,7 +329,10 @@
 		Problems  []string `json:"problems,omitempty"`
 		Changes   []string `json:"changes,omitempty"`
 		Meanwhile []string `json:"meanwhile,omitempty"`
-	}{id, strings.ToLower(reply.Code.String()), reply.Revision, f.dryRun, reply.Problems, reply.Changes, reply.Meanwhile}
+	}{
+		id, strings.ToLower(reply.Code.String()), reply.Revision, f.dryRun, reply.Problems, reply.Changes,
+		reply.Meanwhile,
+	}
 	code := 0
 	switch reply.Code {
 	case schema.ProposeReply_ACCEPTED:
@@ -371,7 +396,13 @@
 				}
 				t := table{head: []string{"REVISION", "WHEN", "AUTHOR", "CHANGE", "NOTE"}}
 				for _, rev := range h.Revisions {
-					t.add(rev.Revision, when(rev.AtMs), dash(rev.Author), rev.Id, strings.TrimPrefix(note(rev.Note), ": "))
+					t.add(
+						rev.Revision,
+						when(rev.AtMs),
+						dash(rev.Author),
+						rev.Id,
+						strings.TrimPrefix(note(rev.Note), ": "),
+					)
 				}
 				return g.print(cmd.OutOrStdout(), h.Revisions, t)
 			})
@@ -408,7 +439,16 @@
 				if err != nil {
 					return err
 				}
-				return propose(ctx, cmd, g, c, &f, newest.Revision, &doc.Document, func(p string) string { return p })
+				return propose(
+					ctx,
+					cmd,
+					g,
+					c,
+					&f,
+					newest.Revision,
+					&doc.Document,
+					func(p string) string { return p },
+				)
 			})
 		},
 	}
@@ -451,7 +491,14 @@
 						fmt.Fprintf(cmd.OutOrStdout(), "%s\n", b)
 						continue
 					}
-					fmt.Fprintf(cmd.OutOrStdout(), "revision %d by %s, %s%s\n", rev.Revision, dash(rev.Author), when(rev.AtMs), note(rev.Note))
+					fmt.Fprintf(
+						cmd.OutOrStdout(),
+						"revision %d by %s, %s%s\n",
+						rev.Revision,
+						dash(rev.Author),
+						when(rev.AtMs),
+						note(rev.Note),
+					)
 					if before != nil {
 						for _, l := range agreement.Differences(&before.Document, &f.Document) {
 							fmt.Fprintln(cmd.OutOrStdout(), "  "+l)
--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -120,6 +120,12 @@
 
 // newWorld starts next hops, discovery and a node. Do is told which attempt of all this is.
 func newWorld(t *testing.T, hops int, do func(n int, s seen, rw http.ResponseWriter), args ...string) *world {
+	return newWorldAt(t, filepath.Join(t.TempDir(), "config.json"), hops, do, args...)
+}
+
+// newWorldAt is newWorld with the platform's file at a path that the arguments may lead to.
+func newWorldAt(t *testing.T, file string, hops int, do func(n int, s seen, rw http.ResponseWriter),
+	args ...string) *world {
 	w := &world{t: t, addr: freeAddress(t), watches: make(chan *watch, 16)}
 	known := []string{}
 	for i := range hops {
@@ -137,7 +143,7 @@
 	w.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
 		`"memory_mb":%s,"sockets":%s},"known":%s,"settings":%s}`, w.addr, address,
 		cmp.Or(os.Getenv("MEMORY"), "192"), cmp.Or(os.Getenv("SOCKETS"), "1024"), list, testSettings)
-	w.file = filepath.Join(t.TempDir(), "config.json")
+	w.file = file
 	check(t, os.WriteFile(w.file, []byte(w.config), 0o600))
 	w.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n ${FILES:-1024}; exec "$0" "$@"`,
 		program}, args...)...)
--- a/cmd/moorstack/prove.go
+++ b/cmd/moorstack/prove.go
@@ -72,7 +72,12 @@
 	fl.Int64Var(&f.seed, "seed", -1, "play the story of this seed alone")
 	fl.BoolVar(&f.trace, "trace", false, "with --seed: print each event")
 	fl.IntSliceVar(&f.instances, "instances", []int{3, 5}, "sizes of groups")
-	fl.BoolVar(&f.broken, "broken", false, "play a build that acknowledges before it syncs: the checks must find it")
+	fl.BoolVar(
+		&f.broken,
+		"broken",
+		false,
+		"play a build that acknowledges before it syncs: the checks must find it",
+	)
 	fl.BoolVar(&f.processes, "processes", false, "real processes in place of virtual time")
 	fl.IntVar(&f.changes, "changes", 300, "with --processes: how many changes")
 	fl.StringVar(&f.keep, "keep", "", "with --processes: keep directories and logs in this `directory`")
@@ -129,7 +134,14 @@
 		prove.Many(first, count, runtime.NumCPU(), options, func(r prove.Result) {
 			t.add(r)
 			if terminal(os.Stderr) {
-				fmt.Fprintf(os.Stderr, "\r%d instances: %d of %d stories, %d broken ", n, t.Stories, count, len(t.Broken))
+				fmt.Fprintf(
+					os.Stderr,
+					"\r%d instances: %d of %d stories, %d broken ",
+					n,
+					t.Stories,
+					count,
+					len(t.Broken),
+				)
 			}
 		})
 		if terminal(os.Stderr) {
@@ -143,7 +155,10 @@
 		return err
 	}
 	if broken > 0 {
-		return exitError{exitFailed, fmt.Errorf("%d stories are broken; play one again with --seed N --trace", broken)}
+		return exitError{
+			exitFailed,
+			fmt.Errorf("%d stories are broken; play one again with --seed N --trace", broken),
+		}
 	}
 	return nil
 }
@@ -165,8 +180,10 @@
 }
 
 func storiesTable(all []*totals) table {
-	t := table{head: []string{"INSTANCES", "STORIES", "BROKEN", "EVENTS", "TICKS", "ACCEPTED", "REFUSED", "UNKNOWN",
-		"READS", "FAULTS", "SECONDS"}}
+	t := table{
+		head: []string{"INSTANCES", "STORIES", "BROKEN", "EVENTS", "TICKS", "ACCEPTED", "REFUSED", "UNKNOWN",
+			"READS", "FAULTS", "SECONDS"},
+	}
 	faults := map[string]int{}
 	for _, s := range all {
 		n := 0
@@ -174,8 +191,19 @@
 			n += k
 			faults[name] += k
 		}
-		t.add(s.Instances, s.Stories, len(s.Broken), s.Events, s.Ticks, s.Accepted, s.Refused, s.Unknown, s.Reads, n,
-			fmt.Sprintf("%.1f", s.WallSecond))
+		t.add(
+			s.Instances,
+			s.Stories,
+			len(s.Broken),
+			s.Events,
+			s.Ticks,
+			s.Accepted,
+			s.Refused,
+			s.Unknown,
+			s.Reads,
+			n,
+			fmt.Sprintf("%.1f", s.WallSecond),
+		)
 	}
 	t.add("")
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
--- a/cmd/moorstack/remote.go
+++ b/cmd/moorstack/remote.go
@@ -27,8 +27,18 @@
 	f := cmd.PersistentFlags()
 	f.StringVar(&r.config, "config", os.Getenv("MOORSTACK_CONFIG"),
 		"the instance's `file`, as for serve: its control socket is called ($MOORSTACK_CONFIG)")
-	f.StringVar(&r.target.Socket, "socket", os.Getenv("MOORSTACK_SOCKET"), "the control `socket` ($MOORSTACK_SOCKET)")
-	f.StringVar(&r.target.Address, "address", "", "the control `address`, under TLS; it needs the four flags below")
+	f.StringVar(
+		&r.target.Socket,
+		"socket",
+		os.Getenv("MOORSTACK_SOCKET"),
+		"the control `socket` ($MOORSTACK_SOCKET)",
+	)
+	f.StringVar(
+		&r.target.Address,
+		"address",
+		"",
+		"the control `address`, under TLS; it needs the four flags below",
+	)
 	f.StringVar(&r.target.Name, "instance", "", "with --address: the `name` of the instance there")
 	f.StringVar(&r.target.Keys.CA, "ca", "", "with --address: the authority's certificate `file`")
 	f.StringVar(&r.target.Keys.Cert, "cert", "", "with --address: the caller's certificate `file`")
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -50,8 +50,10 @@
 			return nil
 		},
 	}
-	root.Flags().StringVar(&faktoryFile, "faktory", "", "serve the Faktory work protocol too, as this `file` says")
-	root.PersistentFlags().StringVar(&g.logLevel, "log-level", "info", "least level logged: debug, info, warn or error")
+	root.Flags().
+		StringVar(&faktoryFile, "faktory", "", "serve the Faktory work protocol too, as this `file` says")
+	root.PersistentFlags().
+		StringVar(&g.logLevel, "log-level", "info", "least level logged: debug, info, warn or error")
 	root.PersistentFlags().StringVar(&g.logFormat, "log-format", "text", "form of the log: text or json")
 	root.AddCommand(newVersion(), newServe(&g), newConfig(&g), newCluster(&g), newKeys(&g), newStore(&g),
 		newProve(&g))
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -15,7 +15,13 @@
 func sample(worth float64) *Document {
 	return &Document{
 		Classes: []Class{
-			{Name: "trip-quote", Effect: "retryable", GiveUp: Duration(5 * time.Second), Aim: Duration(time.Second), Worth: worth},
+			{
+				Name:   "trip-quote",
+				Effect: "retryable",
+				GiveUp: Duration(5 * time.Second),
+				Aim:    Duration(time.Second),
+				Worth:  worth,
+			},
 			{Name: "dialysis-book", Effect: "dedup", KeyScope: "cell", Window: Duration(25 * time.Second),
 				GiveUp: Duration(15 * time.Second), Aim: Duration(time.Second), Worth: 15},
 		},
@@ -59,11 +65,13 @@
 func TestBounds(t *testing.T) {
 	s := state(t)
 	for n := range MaxIDs + 10 {
-		if o := s.Apply(Change{ID: fmt.Sprint(n), Base: uint64(n + 1), Document: sample(float64(n + 10))}); o.Code != Accepted {
+		o := s.Apply(Change{ID: fmt.Sprint(n), Base: uint64(n + 1), Document: sample(float64(n + 10))})
+		if o.Code != Accepted {
 			t.Fatalf("%d: %+v", n, o)
 		}
 	}
-	if _, known := s.Known("0"); known || len(s.ids) != MaxIDs || len(s.order) != MaxIDs || len(s.history) != MaxHistory {
+	if _, known := s.Known("0"); known || len(s.ids) != MaxIDs || len(s.order) != MaxIDs ||
+		len(s.history) != MaxHistory {
 		t.Errorf("%d ids, %d revisions are remembered", len(s.ids), len(s.history))
 	}
 	if o := s.Apply(Change{ID: "0", Base: 1, Document: sample(10)}); o.Code != Conflict {
@@ -94,7 +102,11 @@
 	if err != nil || !bytes.Equal(r.Encode(), s.Encode()) || !r.Removed(1) {
 		t.Fatalf("%v", err)
 	}
-	a, b := r.Apply(Change{ID: "c", Base: 2, Document: sample(8)}), s.Apply(Change{ID: "c", Base: 2, Document: sample(8)})
+	a, b := r.Apply(
+		Change{ID: "c", Base: 2, Document: sample(8)},
+	), s.Apply(
+		Change{ID: "c", Base: 2, Document: sample(8)},
+	)
 	if a.Revision != 3 || b.Revision != 3 || !bytes.Equal(r.Encode(), s.Encode()) {
 		t.Errorf("they go on differently: %+v, %+v", a, b)
 	}
@@ -108,10 +120,12 @@
 
 func TestWhatIsRefused(t *testing.T) {
 	for want, spoil := range map[string]func(*Document){
-		"at least one":            func(d *Document) { d.Classes = nil },
-		"two of this name":        func(d *Document) { d.Classes[1].Name = "trip-quote" },
-		"it is empty":             func(d *Document) { d.Classes[0].Name = "" },
-		"can't be added":          func(d *Document) { d.Classes = append(d.Classes, Class{Name: "x", Effect: "fragile", GiveUp: 1e9}) },
+		"at least one":     func(d *Document) { d.Classes = nil },
+		"two of this name": func(d *Document) { d.Classes[1].Name = "trip-quote" },
+		"it is empty":      func(d *Document) { d.Classes[0].Name = "" },
+		"can't be added": func(d *Document) {
+			d.Classes = append(d.Classes, Class{Name: "x", Effect: "fragile", GiveUp: 1e9})
+		},
 		"can't be removed":        func(d *Document) { d.Classes = d.Classes[:1] },
 		"is not retryable":        func(d *Document) { d.Classes[0].Effect = "maybe" },
 		"effect, key_scope":       func(d *Document) { d.Classes[1].Window = Duration(time.Minute) },
@@ -149,9 +163,12 @@
 }
 
 func TestDocumentAndSettings(t *testing.T) {
-	set := brain.Settings{Classes: []brain.Class{{Name: "dialysis-book", Deadline: time.Minute, Effect: brain.Keyed,
-		Scope: brain.ScopeCell, Window: 25 * time.Second, Worth: 1, Kind: 2}, {Name: "trip-quote", Deadline: time.Minute}},
-		Tenants: []brain.Tenant{{Name: "batinah"}, {Name: "muscat"}}}
+	set := brain.Settings{
+		Classes: []brain.Class{{Name: "dialysis-book", Deadline: time.Minute, Effect: brain.Keyed,
+			Scope: brain.ScopeCell, Window: 25 * time.Second, Worth: 1, Kind: 2},
+			{Name: "trip-quote", Deadline: time.Minute}},
+		Tenants: []brain.Tenant{{Name: "batinah"}, {Name: "muscat"}},
+	}
 	got, err := sample(5).Onto(set)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -54,24 +54,32 @@
 
 // Class is a class of jobs.
 type Class struct {
-	Name     string   `toml:"name" json:"name"`
-	Effect   string   `toml:"effect" json:"effect"`                           // retryable, dedup or fragile
-	KeyScope string   `toml:"key_scope,omitempty,omitzero" json:"key_scope,omitempty"` // all, zone or cell; for dedup
-	Window   Duration `toml:"window,omitempty,omitzero" json:"window,omitempty"`       // for how long repeats are dropped; for dedup
-	GiveUp   Duration `toml:"give_up" json:"give_up"`                         // the client's patience over all its tries
-	Aim      Duration `toml:"aim" json:"aim"`                                 // an answer within it earns the whole worth
+	Name string `toml:"name" json:"name"`
+	// Retryable, dedup or fragile.
+	Effect string `toml:"effect" json:"effect"`
+	// All, zone or cell; for dedup.
+	KeyScope string `toml:"key_scope,omitempty,omitzero" json:"key_scope,omitempty"`
+	// For how long repeats are dropped; for dedup.
+	Window Duration `toml:"window,omitempty,omitzero" json:"window,omitempty"`
+	// The client's patience over all its tries.
+	GiveUp Duration `toml:"give_up" json:"give_up"`
+	// An answer within it earns the whole worth.
+	Aim Duration `toml:"aim" json:"aim"`
 	// Stretch: the aim grows by this many times the job's own work.
-	Stretch   float64 `toml:"aim_stretch,omitempty,omitzero" json:"aim_stretch,omitempty"`
-	Worth     float64 `toml:"worth" json:"worth"`
-	LateShare float64 `toml:"late_share,omitempty,omitzero" json:"late_share,omitempty"` // of the worth, after the aim
-	Attempts  int     `toml:"attempts,omitempty,omitzero" json:"attempts,omitempty"`     // 0: as many as the deployment allows
+	Stretch float64 `toml:"aim_stretch,omitempty,omitzero" json:"aim_stretch,omitempty"`
+	Worth   float64 `toml:"worth" json:"worth"`
+	// Of the worth, after the aim.
+	LateShare float64 `toml:"late_share,omitempty,omitzero" json:"late_share,omitempty"`
+	// 0: as many as the deployment allows.
+	Attempts int `toml:"attempts,omitempty,omitzero" json:"attempts,omitempty"`
 }
 
 // Tenant is a team that shares the workers.
 type Tenant struct {
-	Name      string  `toml:"name" json:"name"`
-	Share     float64 `toml:"share" json:"share"`
-	Allowance float64 `toml:"allowance_per_s,omitempty,omitzero" json:"allowance_per_s,omitempty"` // requests a second, over all instances
+	Name  string  `toml:"name" json:"name"`
+	Share float64 `toml:"share" json:"share"`
+	// Requests a second, over all instances.
+	Allowance float64 `toml:"allowance_per_s,omitempty,omitzero" json:"allowance_per_s,omitempty"`
 }
 
 // Encode gives the document's one form in bytes: equal documents have equal bytes.
@@ -112,8 +120,16 @@
 func FromSettings(s brain.Settings) *Document {
 	d := &Document{}
 	for _, c := range s.Classes {
-		k := Class{Name: c.Name, Effect: wordFor(effects, c.Effect), GiveUp: Duration(c.Deadline), Aim: Duration(c.Aim),
-			Stretch: c.Stretch, Worth: c.Worth, LateShare: c.LateShare, Attempts: c.Attempts}
+		k := Class{
+			Name:      c.Name,
+			Effect:    wordFor(effects, c.Effect),
+			GiveUp:    Duration(c.Deadline),
+			Aim:       Duration(c.Aim),
+			Stretch:   c.Stretch,
+			Worth:     c.Worth,
+			LateShare: c.LateShare,
+			Attempts:  c.Attempts,
+		}
 		if c.Effect == brain.Keyed {
 			k.KeyScope, k.Window = wordFor(scopes, c.Scope), Duration(c.Window)
 		}
@@ -129,8 +145,13 @@
 // must be the same ones, in any order.
 func (d *Document) Onto(s brain.Settings) (brain.Settings, error) {
 	if len(d.Classes) != len(s.Classes) || len(d.Tenants) != len(s.Tenants) {
-		return s, fmt.Errorf("the document has %d classes and %d tenants, this instance's own settings %d and %d",
-			len(d.Classes), len(d.Tenants), len(s.Classes), len(s.Tenants))
+		return s, fmt.Errorf(
+			"the document has %d classes and %d tenants, this instance's own settings %d and %d",
+			len(d.Classes),
+			len(d.Tenants),
+			len(s.Classes),
+			len(s.Tenants),
+		)
 	}
 	s.Classes = append([]brain.Class(nil), s.Classes...)
 	s.Tenants = append([]brain.Tenant(nil), s.Tenants...)
@@ -146,7 +167,10 @@
 		c := &s.Classes[i]
 		if c.Effect != effects[k.Effect] || c.Effect == brain.Keyed &&
 			(c.Scope != scopes[k.KeyScope] || c.Window != time.Duration(k.Window)) {
-			return s, fmt.Errorf("class %q: this instance's own settings say otherwise what may run again", k.Name)
+			return s, fmt.Errorf(
+				"class %q: this instance's own settings say otherwise what may run again",
+				k.Name,
+			)
 		}
 		c.Deadline, c.Aim, c.Stretch = time.Duration(k.GiveUp), time.Duration(k.Aim), k.Stretch
 		c.Worth, c.LateShare, c.Attempts = k.Worth, k.LateShare, k.Attempts
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -87,7 +87,12 @@
 // New makes the state of a new group. The first document has revision 1, or one more
 // than the given, so that a group made from a backup goes on counting.
 func New(rules Rules, cluster string, first *Document, after uint64, by Member) (*State, error) {
-	s := &State{rules: rules, cluster: cluster, ids: map[string]Outcome{}, members: map[uint64]Member{by.ID: by}}
+	s := &State{
+		rules:   rules,
+		cluster: cluster,
+		ids:     map[string]Outcome{},
+		members: map[uint64]Member{by.ID: by},
+	}
 	if !first.finite() {
 		return nil, fmt.Errorf("the first document has a number that is none")
 	}
@@ -140,7 +145,10 @@
 	case len(c.Author) > maxName || len(c.Note) > 1024:
 		return refuse(TooLarge, fmt.Sprintf("an author may have %d bytes, a note 1024", maxName))
 	case c.Base != newest.Revision:
-		return refuse(Conflict, fmt.Sprintf("it was made from revision %d, the newest is %d", c.Base, newest.Revision))
+		return refuse(
+			Conflict,
+			fmt.Sprintf("it was made from revision %d, the newest is %d", c.Base, newest.Revision),
+		)
 	case c.Document == nil || !c.Document.finite():
 		return refuse(Invalid, "the document has a number that is none")
 	}
@@ -165,8 +173,10 @@
 	}
 	o := s.Check(c)
 	if o.Code == Accepted {
-		s.push(Revision{Revision: o.Revision, ID: c.ID, Author: c.Author, Note: c.Note, AtMS: c.At.UnixMilli(),
-			Document: c.Document})
+		s.push(
+			Revision{Revision: o.Revision, ID: c.ID, Author: c.Author, Note: c.Note, AtMS: c.At.UnixMilli(),
+				Document: c.Document},
+		)
 	}
 	// Refused ones are remembered too: the same change must not be refused now and
 	// accepted when it comes again.
@@ -262,13 +272,21 @@
 
 // Encode writes the state: equal states have equal bytes.
 func (s *State) Encode() []byte {
-	im := image{Format: Format, Cluster: s.cluster, History: s.history, Members: s.Members(), Removed: s.removed}
+	im := image{
+		Format:  Format,
+		Cluster: s.cluster,
+		History: s.history,
+		Members: s.Members(),
+		Removed: s.removed,
+	}
 	for _, id := range s.order {
 		im.IDs = append(im.IDs, idImage{id, s.ids[id]})
 	}
 	b, err := json.Marshal(im)
 	if err != nil {
-		panic(fmt.Sprintf("agreement: the state can't be written: %v", err)) // Check has refused all that can't
+		panic(
+			fmt.Sprintf("agreement: the state can't be written: %v", err),
+		) // Check has refused all that can't
 	}
 	return b
 }
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -80,18 +80,25 @@
 	for _, c := range d.Classes {
 		o, ok := old[c.Name]
 		if !ok {
-			p.add(fmt.Sprintf("class %q", c.Name),
-				"a class can't be added while instances run: jobs of it could not be read by those that start later")
+			p.add(
+				fmt.Sprintf("class %q", c.Name),
+				"a class can't be added while instances run: their own files must name it first",
+			)
 			continue
 		}
 		delete(old, c.Name)
 		if c.Effect != o.Effect || c.KeyScope != o.KeyScope || c.Window != o.Window {
-			p.add(fmt.Sprintf("class %q", c.Name),
-				"effect, key_scope and window can't change while instances run: open jobs may have run under the old ones")
+			p.add(
+				fmt.Sprintf("class %q", c.Name),
+				"effect, key_scope and window can't change while instances run: open jobs may have run",
+			)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(old)) {
-		p.add(fmt.Sprintf("class %q", name), "a class can't be removed while instances run: jobs of it may be open")
+		p.add(
+			fmt.Sprintf("class %q", name),
+			"a class can't be removed while instances run: jobs of it may be open",
+		)
 	}
 	tenants := map[string]bool{}
 	for _, t := range was.Tenants {
@@ -104,7 +111,10 @@
 		delete(tenants, t.Name)
 	}
 	for _, name := range slices.Sorted(maps.Keys(tenants)) {
-		p.add(fmt.Sprintf("tenant %q", name), "a tenant can't be removed while instances run: jobs of it may be open")
+		p.add(
+			fmt.Sprintf("tenant %q", name),
+			"a tenant can't be removed while instances run: jobs of it may be open",
+		)
 	}
 	return p
 }
--- /dev/null
+++ b/internal/consensus/consensus_test.go
@@ -0,0 +1,182 @@
+package consensus
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/schema"
+	"moorstack/internal/store"
+	"moorstack/internal/store/faultfs"
+)
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func document(worth float64) *agreement.Document {
+	return &agreement.Document{Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Worth: worth}}}
+}
+
+// alone is an instance that is a group by itself, and what it has told.
+type alone struct {
+	*Instance
+	fs      *faultfs.FS
+	log     *store.Store
+	answers map[Ticket]Answer
+}
+
+func open(t testing.TB, fs *faultfs.FS) *alone {
+	t.Helper()
+	saved := NewSaved()
+	log, err := store.Open("/d", store.Options{FS: fs}, saved.Image, saved.Record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i, err := New(Config{Log: quiet(), Seed: 1, SnapshotEvery: 7, KeepEntries: 2}, saved, 77, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &alone{i, fs, log, map[Ticket]Answer{}}
+}
+
+func (a *alone) drive(t testing.TB) {
+	t.Helper()
+	if err := Drive(a.Instance, a.log, func(e Effects) {
+		for _, x := range e.Answers {
+			a.answers[x.Ticket] = x
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func lead(t testing.TB) *alone {
+	a := open(t, faultfs.New(1))
+	if err := a.Bootstrap("g", "127.0.0.1:1", document(1), 0); err != nil {
+		t.Fatal(err)
+	}
+	a.drive(t)
+	return a
+}
+
+func (a *alone) propose(t testing.TB, id string, base uint64, worth float64) Answer {
+	ticket := a.Propose(agreement.Change{ID: id, Base: base, Document: document(worth)})
+	a.drive(t)
+	return a.answers[ticket]
+}
+
+// What was answered is there after any number of restarts, through snapshots.
+func TestRestartsFromItsStore(t *testing.T) {
+	a := lead(t)
+	for n := range 40 {
+		worth := float64(n + 2)
+		got := a.propose(t, "x"+string(rune('a'+n)), uint64(n+1), worth)
+		if got.Err != nil || got.Outcome.Code != agreement.Accepted || got.Outcome.Revision != uint64(n+2) {
+			t.Fatalf("change %d: %+v", n, got)
+		}
+		if n%3 == 0 {
+			a.fs.Crash()
+			a = open(t, a.fs)
+			// It has not been elected again, but knows what it knew.
+			if got := a.propose(t, "y", uint64(n+2), 0); !errors.Is(got.Err, ErrNoLeader) {
+				t.Fatalf("without a leader: %+v", got)
+			}
+			for range 25 {
+				a.Tick()
+				a.drive(t)
+			}
+			if s := a.Status(); s.Role != "leader" || s.Revision != uint64(n+2) {
+				t.Fatalf("after a restart: %+v", s)
+			}
+		}
+	}
+}
+
+func TestWhatMembersMayNotDo(t *testing.T) {
+	a := lead(t)
+	for want, op := range map[string]*schema.Operation{
+		"the last instance with a vote can't be removed": {Kind: schema.Operation_REMOVE, Name: "n1"},
+		`the group has no instance "n9"`:                 {Kind: schema.Operation_PROMOTE, Name: "n9"},
+		"n1 has a vote already":                          {Kind: schema.Operation_PROMOTE, Name: "n1"},
+		"n1 is at 127.0.0.1:1 already":                   {Kind: schema.Operation_ADD, Name: "n2", Address: "127.0.0.1:1"},
+	} {
+		ticket := a.Operate(op, 99)
+		a.drive(t)
+		var refused *RefusedError
+		if got := a.answers[ticket].Err; !errors.As(got, &refused) || got.Error() != want {
+			t.Errorf("%v: %v", op.Kind, got)
+		}
+	}
+	if err := a.Bootstrap("h", "127.0.0.1:1", document(1), 0); err == nil {
+		t.Error("a group is made of a member of another")
+	}
+	if err := a.Join("h"); err == nil {
+		t.Error("a member joins another group")
+	}
+}
+
+// A proposal that nobody can read must not get into the log: it would stop every instance.
+func TestUnreadableProposal(t *testing.T) {
+	a := lead(t)
+	for _, e := range []*pb.Entry{{Data: []byte("x")}, {Type: pb.EntryConfChangeV2.Enum()}, {}, nil} {
+		err := a.Step(&pb.Message{Type: pb.MsgProp.Enum(), From: proto.Uint64(78), To: proto.Uint64(77),
+			Entries: []*pb.Entry{e}})
+		if err == nil {
+			t.Errorf("taken: %v", e)
+		}
+		a.drive(t)
+	}
+	if got := a.propose(t, "x", 1, 2); got.Outcome.Code != agreement.Accepted {
+		t.Errorf("it goes on with %+v", got)
+	}
+}
+
+// FuzzStep has any bytes come from another instance: an error or not, but the process goes
+// on, and nothing that was agreed on is lost.
+func FuzzStep(f *testing.F) {
+	add := func(m *pb.Message) {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	u := proto.Uint64
+	add(&pb.Message{Type: pb.MsgApp.Enum(), From: u(78), To: u(77), Term: u(9), LogTerm: u(1), Index: u(1),
+		Entries: []*pb.Entry{{Index: u(2), Term: u(9), Type: pb.EntryNormal.Enum(), Data: []byte("x")}}, Commit: u(2)})
+	add(&pb.Message{Type: pb.MsgHeartbeat.Enum(), From: u(78), To: u(77), Term: u(9), Commit: u(1 << 40)})
+	add(&pb.Message{Type: pb.MsgSnap.Enum(), From: u(78), To: u(77), Term: u(9), Snapshot: &pb.Snapshot{
+		Data: []byte("{}"), Metadata: &pb.SnapshotMetadata{Index: u(9), Term: u(9), ConfState: &pb.ConfState{}}}})
+	add(&pb.Message{Type: pb.MsgProp.Enum(), From: u(78), To: u(77), Entries: []*pb.Entry{{Data: []byte("x")}}})
+	add(&pb.Message{Type: pb.MsgProp.Enum(), From: u(78), To: u(77), Entries: []*pb.Entry{{
+		Type: pb.EntryConfChangeV2.Enum(), Data: []byte("x")}}})
+	add(&pb.Message{Type: pb.MsgHup.Enum(), From: u(78), To: u(77)})
+	add(&pb.Message{Type: pb.MsgReadIndex.Enum(), From: u(78), To: u(77), Entries: []*pb.Entry{{}}})
+	add(&pb.Message{Type: pb.MsgAppResp.Enum(), From: u(78), To: u(77), Term: u(2), Index: u(1 << 50)})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a := lead(t)
+		m := &pb.Message{}
+		if proto.Unmarshal(b, m) != nil {
+			return
+		}
+		_ = a.Step(m)
+		a.drive(t)
+		for range 3 {
+			a.Tick()
+			a.drive(t)
+		}
+		if r := a.State().Newest(); r.Revision < 1 {
+			t.Errorf("revision %d is left", r.Revision)
+		}
+		a.fs.Crash()
+		open(t, a.fs) // and what it wrote can be read
+	})
+}
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -242,7 +242,11 @@
 		i.saveIdentity()
 	}
 	if name != "" && i.identity.Name != name {
-		return nil, fmt.Errorf("the directory is of instance %q, the configuration names %q", i.identity.Name, name)
+		return nil, fmt.Errorf(
+			"the directory is of instance %q, the configuration names %q",
+			i.identity.Name,
+			name,
+		)
 	}
 	i.rng = rand.New(rand.NewPCG(cfg.Seed, i.identity.Id))
 	if i.identity.Cluster == "" {
@@ -251,7 +255,11 @@
 	if saved.hard != nil {
 		last, _ := i.storage.LastIndex()
 		if saved.hard.GetCommit() > last {
-			return nil, fmt.Errorf("the store says that entry %d was agreed on and ends at %d", saved.hard.GetCommit(), last)
+			return nil, fmt.Errorf(
+				"the store says that entry %d was agreed on and ends at %d",
+				saved.hard.GetCommit(),
+				last,
+			)
 		}
 		if err := i.storage.SetHardState(saved.hard); err != nil {
 			return nil, err
@@ -325,7 +333,11 @@
 	}
 	i.identity.Cluster = cluster
 	// Hazard: the identity comes last, so that a group exists whole or not at all.
-	i.unsaved = append(i.unsaved, store.Record{Kind: recSnapshot, Data: s}, store.Record{Kind: recHardState, Data: h})
+	i.unsaved = append(
+		i.unsaved,
+		store.Record{Kind: recSnapshot, Data: s},
+		store.Record{Kind: recHardState, Data: h},
+	)
 	i.saveIdentity()
 	if err := i.start(); err != nil {
 		return err
@@ -457,6 +469,16 @@
 		if len(m.GetEntries()) == 0 {
 			return errors.New("a proposal of nothing")
 		}
+		// Hazard: what is in the log and can't be read stops every instance. Changes of the
+		// members are only proposed by the leader itself.
+		for _, e := range m.GetEntries() {
+			if e.GetType() != pb.EntryNormal {
+				return errors.New("a proposal of another kind than a change")
+			}
+			if _, err := decodeChange(e.GetData()); err != nil {
+				return err
+			}
+		}
 		return nil
 	case pb.MsgApp:
 		for n, e := range m.GetEntries() {
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -175,7 +175,8 @@
 		panic(err)
 	}
 	i.imaged, i.reshaped = i.applied, false
-	if first, _ := i.storage.FirstIndex(); i.applied > i.cfg.KeepEntries && i.applied-i.cfg.KeepEntries > first {
+	if first, _ := i.storage.FirstIndex(); i.applied > i.cfg.KeepEntries &&
+		i.applied-i.cfg.KeepEntries > first {
 		if err := i.storage.Compact(i.applied - i.cfg.KeepEntries); err != nil {
 			panic(err)
 		}
@@ -230,13 +231,22 @@
 		return agreement.Change{}, fmt.Errorf("a change in the log can't be read: %w", err)
 	}
 	if m.Format > agreement.Format {
-		return agreement.Change{}, fmt.Errorf("a change in the log has format %d; this program reads %d and must be renewed",
-			m.Format, agreement.Format)
+		return agreement.Change{}, fmt.Errorf(
+			"a change in the log has format %d; this program reads %d and must be renewed",
+			m.Format,
+			agreement.Format,
+		)
 	}
 	doc, err := agreement.Decode(m.Document)
 	if err != nil {
 		return agreement.Change{}, err
 	}
-	return agreement.Change{ID: m.Id, Base: m.Base, Author: m.Author, Note: m.Note, At: time.UnixMilli(m.AtMs),
-		Document: doc}, nil
+	return agreement.Change{
+		ID:       m.Id,
+		Base:     m.Base,
+		Author:   m.Author,
+		Note:     m.Note,
+		At:       time.UnixMilli(m.AtMs),
+		Document: doc,
+	}, nil
 }
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -192,7 +192,8 @@
 	// Hazard: what was handed to a leader that is no more, or got lost on the way, would
 	// wait in vain.
 	again := i.ticks-r.tried >= uint64(i.cfg.ElectionTicks) || s.Lead != r.lead
-	if (r.kind == proposing || r.kind == reading) && r.index == 0 && s.Lead != raft.None && again && i.ticks > r.tried {
+	if (r.kind == proposing || r.kind == reading) && r.index == 0 && s.Lead != raft.None && again &&
+		i.ticks > r.tried {
 		i.try(r)
 	}
 	return false
@@ -241,7 +242,8 @@
 		i.rn.TransferLeader(m.ID)
 		return nil
 	}
-	if len(i.conf.GetVotersOutgoing()) > 0 || slices.ContainsFunc(i.waiting, func(w *request) bool { return w.kind == moving }) {
+	if len(i.conf.GetVotersOutgoing()) > 0 ||
+		slices.ContainsFunc(i.waiting, func(w *request) bool { return w.kind == moving }) {
 		return refuse("another change of the members is under way")
 	}
 	mc := &schema.MembersChange{Change: fmt.Sprintf("members/%x/%d/%d", i.identity.Id, i.ticks, r.ticket)}
@@ -302,7 +304,11 @@
 	case known && m.ID == number:
 		return refuse("%s is a member already", op.Name)
 	case known:
-		return refuse("the group has another instance %s (%x): if that one's disk is lost, remove it first", m.Name, m.ID)
+		return refuse(
+			"the group has another instance %s (%x): if that one's disk is lost, remove it first",
+			m.Name,
+			m.ID,
+		)
 	case i.state.Removed(number):
 		return refuse("the instance %x was removed before; start it on an empty directory", number)
 	}
@@ -323,7 +329,11 @@
 	s := i.rn.Status()
 	behind := s.GetCommit() - min(s.GetCommit(), s.Progress[m.ID].Match)
 	if !i.active(m.ID) || s.Progress[m.ID].Match == 0 || behind > 16 {
-		return refuse("%s lags %d entries behind or is not heard of; try again when it has caught up", m.Name, behind)
+		return refuse(
+			"%s lags %d entries behind or is not heard of; try again when it has caught up",
+			m.Name,
+			behind,
+		)
 	}
 	return nil
 }
@@ -347,8 +357,11 @@
 		}
 	}
 	if active <= len(voters)/2 && !force {
-		return refuse("of the %d voters that would be left only %d are heard of, which is no majority; --force does it all the same",
-			len(voters), active)
+		return refuse(
+			"of the %d voters left only %d would be heard of, no majority; --force does it all the same",
+			len(voters),
+			active,
+		)
 	}
 	return nil
 }
@@ -388,8 +401,14 @@
 
 // Status says how the instance stands.
 func (i *Instance) Status() Status {
-	st := Status{ID: i.identity.Id, Name: i.identity.Name, Cluster: i.identity.Cluster, Role: "waiting", CutOff: true,
-		Halted: i.halted}
+	st := Status{
+		ID:      i.identity.Id,
+		Name:    i.identity.Name,
+		Cluster: i.identity.Cluster,
+		Role:    "waiting",
+		CutOff:  true,
+		Halted:  i.halted,
+	}
 	if i.rn == nil {
 		return st
 	}
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -67,11 +67,13 @@
 		watchers: map[chan struct{}]bool{}}
 	saved := NewSaved()
 	var err error
-	if r.store, err = store.Open(cfg.Dir, store.Options{SegmentBytes: 16 << 20}, saved.Image, saved.Record); err != nil {
+	options := store.Options{SegmentBytes: 16 << 20}
+	if r.store, err = store.Open(cfg.Dir, options, saved.Image, saved.Record); err != nil {
 		return nil, err
 	}
 	if tear := r.store.Torn(); tear != nil {
-		cfg.Log.WithField("torn", tear.String()).Warn("the end of the log was cut off: it was never acknowledged")
+		cfg.Log.WithField("torn", tear.String()).
+			Warn("the end of the log was cut off: it was never acknowledged")
 	}
 	if r.inst, err = New(cfg.Config, saved, rand.Uint64()>>1|1, cfg.Name); err != nil {
 		r.store.Close()
@@ -145,7 +147,9 @@
 func (r *Runner) step(m *pb.Message) {
 	if err := r.inst.Step(m); err != nil {
 		r.refused.Add(1)
-		r.cfg.Log.WithError(err).WithField("from", fmt.Sprintf("%x", m.GetFrom())).Debug("a message is refused")
+		r.cfg.Log.WithError(err).
+			WithField("from", fmt.Sprintf("%x", m.GetFrom())).
+			Debug("a message is refused")
 	}
 }
 
@@ -184,7 +188,8 @@
 	s := r.inst.Status()
 	was := r.status.Swap(&s)
 	if was != nil && (was.Role != s.Role || was.Leader != s.Leader) && r.inst.rn != nil {
-		r.cfg.Log.WithFields(logrus.Fields{"role": s.Role, "leader": r.nameOf(s.Leader), "term": s.Term}).Info("the roles have changed")
+		r.cfg.Log.WithFields(logrus.Fields{"role": s.Role, "leader": r.nameOf(s.Leader), "term": s.Term}).
+			Info("the roles have changed")
 	}
 	if was == nil || was.Revision != s.Revision || was.Applied != s.Applied {
 		r.mu.Lock()
@@ -212,7 +217,10 @@
 
 // Counters are what has been dropped or refused.
 func (r *Runner) Counters() map[string]uint64 {
-	return map[string]uint64{"messages_dropped_inbound": r.dropped.Load(), "messages_refused": r.refused.Load()}
+	return map[string]uint64{
+		"messages_dropped_inbound": r.dropped.Load(),
+		"messages_refused":         r.refused.Load(),
+	}
 }
 
 // Deliver takes a message of another instance. It never waits: where more has come than
@@ -320,7 +328,12 @@
 }
 
 // Bootstrap makes a new group of this instance.
-func (r *Runner) Bootstrap(ctx context.Context, cluster, address string, first *agreement.Document, after uint64) error {
+func (r *Runner) Bootstrap(
+	ctx context.Context,
+	cluster, address string,
+	first *agreement.Document,
+	after uint64,
+) error {
 	var err error
 	if bad := r.do(ctx, func() { err = r.inst.Bootstrap(cluster, address, first, after) }); bad != nil {
 		return bad
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -27,8 +27,10 @@
 // Dial makes a client. Nothing is sent before its first call.
 func Dial(t Target) (schema.ControlClient, func() error, error) {
 	opts := []grpc.DialOption{
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6,
-			MaxDelay: time.Second}, MinConnectTimeout: 2 * time.Second}),
+		grpc.WithConnectParams(
+			grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6,
+				MaxDelay: time.Second}, MinConnectTimeout: 2 * time.Second},
+		),
 		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxMessage), grpc.MaxCallRecvMsgSize(MaxMessage))}
 	target := ""
 	switch {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -64,19 +64,28 @@
 func New(host Host, log logrus.FieldLogger) *Server { return &Server{host: host, log: log} }
 
 func (s *Server) server(opts ...grpc.ServerOption) *grpc.Server {
-	g := grpc.NewServer(append(opts, grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
-		grpc.UnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
-			if err := s.allow(ctx, info.FullMethod); err != nil {
-				return nil, err
-			}
-			return next(ctx, req)
-		}),
-		grpc.StreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
-			if err := s.allow(ss.Context(), info.FullMethod); err != nil {
-				return err
-			}
-			return next(srv, ss)
-		}))...)
+	g := grpc.NewServer(append(
+		opts,
+		grpc.MaxRecvMsgSize(MaxMessage),
+		grpc.MaxSendMsgSize(MaxMessage),
+		grpc.UnaryInterceptor(
+			func(ctx context.Context, req any, info *grpc.UnaryServerInfo,
+				next grpc.UnaryHandler) (any, error) {
+				if err := s.allow(ctx, info.FullMethod); err != nil {
+					return nil, err
+				}
+				return next(ctx, req)
+			},
+		),
+		grpc.StreamInterceptor(
+			func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+				if err := s.allow(ss.Context(), info.FullMethod); err != nil {
+					return err
+				}
+				return next(srv, ss)
+			},
+		),
+	)...)
 	schema.RegisterControlServer(g, s)
 	s.grpc = append(s.grpc, g)
 	return g
@@ -104,7 +113,13 @@
 		return nil
 	}
 	s.log.WithFields(logrus.Fields{"caller": name, "role": role, "method": method}).Warn("a call is refused")
-	return status.Errorf(codes.PermissionDenied, "%s is for operators; the certificate of %q is of the role %q", method, name, role)
+	return status.Errorf(
+		codes.PermissionDenied,
+		"%s is for operators; the certificate of %q is of the role %q",
+		method,
+		name,
+		role,
+	)
 }
 
 // ServeSocket serves on a unix socket that only its owner can open.
@@ -250,7 +265,12 @@
 			return failure(err)
 		}
 		if next < oldest {
-			return status.Errorf(codes.OutOfRange, "revision %d is not kept any more; the oldest is %d", next, oldest)
+			return status.Errorf(
+				codes.OutOfRange,
+				"revision %d is not kept any more; the oldest is %d",
+				next,
+				oldest,
+			)
 		}
 		for _, rev := range due {
 			if err := stream.Send(rev); err != nil {
@@ -273,13 +293,24 @@
 	name, _ := who(ctx)
 	if len(in.Document) > agreement.MaxDocument {
 		return &schema.ProposeReply{Code: schema.ProposeReply_TOO_LARGE, Problems: []string{
-			fmt.Sprintf("the document has %d bytes, %d are allowed", len(in.Document), agreement.MaxDocument)}}, nil
+			fmt.Sprintf(
+				"the document has %d bytes, %d are allowed",
+				len(in.Document),
+				agreement.MaxDocument,
+			)}}, nil
 	}
 	doc, err := agreement.Decode(in.Document)
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	c := agreement.Change{ID: in.Id, Base: in.Base, Author: name, Note: in.Note, At: time.Now(), Document: doc}
+	c := agreement.Change{
+		ID:       in.Id,
+		Base:     in.Base,
+		Author:   name,
+		Note:     in.Note,
+		At:       time.Now(),
+		Document: doc,
+	}
 	r := s.host.Runner()
 	if c.Base == 0 {
 		if err := r.Barrier(ctx); err == nil {
@@ -307,11 +338,15 @@
 		out.Code, out.Problems = schema.ProposeReply_UNKNOWN, []string{consensus.ErrUnknown.Error()}
 	default:
 		st := r.Status()
-		out.Code, out.Revision, out.Problems = schema.ProposeReply_NO_LEADER, st.Revision, []string{err.Error()}
+		out.Code, out.Revision, out.Problems = schema.ProposeReply_NO_LEADER, st.Revision, []string{
+			err.Error(),
+		}
 	}
 	if !in.DryRun {
-		s.log.WithFields(logrus.Fields{"caller": name, "change": c.ID, "base": c.Base, "outcome": out.Code.String(),
-			"revision": out.Revision}).Info("a change was proposed")
+		s.log.WithFields(logrus.Fields{"caller": name, "change": c.ID, "base": c.Base,
+			"outcome":  out.Code.String(),
+			"revision": out.Revision}).
+			Info("a change was proposed")
 	}
 	return out, nil
 }
@@ -332,9 +367,21 @@
 // Status implements schema.ControlServer. It answers whatever state the agreement is in.
 func (s *Server) Status(context.Context, *schema.StatusRequest) (*schema.StatusReply, error) {
 	st := s.host.Runner().Status()
-	out := &schema.StatusReply{Name: st.Name, Id: st.ID, Cluster: st.Cluster, Role: st.Role, Term: st.Term, Commit: st.Commit,
-		Applied: st.Applied, Revision: st.Revision, CutOff: st.CutOff && st.Cluster != "", Joint: st.Joint,
-		ContactS: (time.Duration(st.Contact) * s.host.Tick()).Seconds(), Counters: s.host.Counters(), Program: s.host.Program()}
+	out := &schema.StatusReply{
+		Name:     st.Name,
+		Id:       st.ID,
+		Cluster:  st.Cluster,
+		Role:     st.Role,
+		Term:     st.Term,
+		Commit:   st.Commit,
+		Applied:  st.Applied,
+		Revision: st.Revision,
+		CutOff:   st.CutOff && st.Cluster != "",
+		Joint:    st.Joint,
+		ContactS: (time.Duration(st.Contact) * s.host.Tick()).Seconds(),
+		Counters: s.host.Counters(),
+		Program:  s.host.Program(),
+	}
 	out.Running, out.RunningProblem = s.host.Running()
 	select {
 	case <-s.host.Runner().Ended():
@@ -351,8 +398,11 @@
 		if m.ID == st.Leader {
 			out.Leader = m.Name
 		}
-		out.Members = append(out.Members, &schema.MemberStatus{Name: m.Name, Id: m.ID, Address: m.Address, Voter: m.Voter,
-			Active: m.Active, Match: m.Match, Known: m.Known})
+		out.Members = append(
+			out.Members,
+			&schema.MemberStatus{Name: m.Name, Id: m.ID, Address: m.Address, Voter: m.Voter,
+				Active: m.Active, Match: m.Match, Known: m.Known},
+		)
 	}
 	return out, nil
 }
@@ -398,8 +448,10 @@
 	if err := s.host.Runner().Compact(ctx); err != nil {
 		return nil, failure(err)
 	}
-	return &schema.Operated{Text: fmt.Sprintf("the log of %s begins anew after entry %d", s.host.Runner().Status().Name,
-		s.host.Runner().Status().Applied)}, nil
+	return &schema.Operated{
+		Text: fmt.Sprintf("the log of %s begins anew after entry %d", s.host.Runner().Status().Name,
+			s.host.Runner().Status().Applied),
+	}, nil
 }
 
 // Backup implements schema.ControlServer.
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -60,9 +60,16 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &x509.Certificate{SerialNumber: n, Subject: pkix.Name{CommonName: name}, NotBefore: now.Add(-backdate),
-		NotAfter: now.Add(life), IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true,
-		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageCRLSign}
+	t := &x509.Certificate{
+		SerialNumber:          n,
+		Subject:               pkix.Name{CommonName: name},
+		NotBefore:             now.Add(-backdate),
+		NotAfter:              now.Add(life),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageCRLSign,
+	}
 	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
 	if err != nil {
 		return nil, err
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -66,14 +66,18 @@
 	}
 	// Only the files' own consistency is asked here: one that has expired must be told to
 	// the other side, and to the operators, by the connection that fails.
-	_, err = cert.Leaf.Verify(x509.VerifyOptions{Roots: pool, CurrentTime: cert.Leaf.NotBefore.Add(time.Second),
-		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+	_, err = cert.Leaf.Verify(
+		x509.VerifyOptions{Roots: pool, CurrentTime: cert.Leaf.NotBefore.Add(time.Second),
+			KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}},
+	)
 	if err != nil {
 		return fmt.Errorf("%s is not of the authority in %s: %w", s.files.Cert, s.files.CA, err)
 	}
 	first := s.cert == nil
 	s.raw, s.cert, s.pool = raw, &cert, pool
-	entry := s.log.WithFields(logrus.Fields{"holder": cert.Leaf.Subject.CommonName, "expires": cert.Leaf.NotAfter.UTC()})
+	entry := s.log.WithFields(
+		logrus.Fields{"holder": cert.Leaf.Subject.CommonName, "expires": cert.Leaf.NotAfter.UTC()},
+	)
 	if !first {
 		entry.Info("the keys have changed")
 	}
@@ -104,21 +108,32 @@
 
 // Server is the configuration of a listener that wants certificates of the given roles.
 func (s *Store) Server(roles ...Role) *tls.Config {
-	return &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAnyClientCert, NextProtos: []string{"h2"},
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert,
+		NextProtos: []string{"h2"},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			cert, pool := s.current()
 			return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{"h2"},
-				Certificates: []tls.Certificate{*cert}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+				Certificates: []tls.Certificate{
+					*cert,
+				}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
 				VerifyConnection: func(c tls.ConnectionState) error { return s.role(c, roles) },
 				// Hazard: a resumed session would go by a certificate that has expired since.
 				SessionTicketsDisabled: true}, nil
-		}}
+		},
+	}
 }
 
 func (s *Store) role(c tls.ConnectionState, roles []Role) error {
 	peer := c.PeerCertificates[0]
 	if role := RoleOf(peer); !slices.Contains(roles, role) {
-		err := fmt.Errorf("the certificate of %q is of the role %q, wanted is one of %v", peer.Subject.CommonName, role, roles)
+		err := fmt.Errorf(
+			"the certificate of %q is of the role %q, wanted is one of %v",
+			peer.Subject.CommonName,
+			role,
+			roles,
+		)
 		s.log.WithError(err).Warn("a certificate is refused")
 		return err
 	}
@@ -143,8 +158,10 @@
 			for _, cert := range c.PeerCertificates[1:] {
 				between.AddCert(cert)
 			}
-			_, err := c.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool, Intermediates: between, DNSName: name,
-				KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}})
+			_, err := c.PeerCertificates[0].Verify(
+				x509.VerifyOptions{Roots: pool, Intermediates: between, DNSName: name,
+					KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}},
+			)
 			if err == nil {
 				err = s.role(c, []Role{Instance})
 			}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -51,7 +51,13 @@
 		return nil, err
 	}
 	if name, role := k.Name(); name != cfg.Name || role != keys.Instance {
-		return nil, fmt.Errorf("%s is the certificate of %s %q; wanted is that of instance %q", cfg.Keys.Cert, role, name, cfg.Name)
+		return nil, fmt.Errorf(
+			"%s is the certificate of %s %q; wanted is that of instance %q",
+			cfg.Keys.Cert,
+			role,
+			name,
+			cfg.Name,
+		)
 	}
 	platformCfg, faktoryCfg, err := cfg.fronts()
 	if err != nil {
@@ -69,7 +75,8 @@
 		return nil, err
 	}
 	i.network.Attach(i.runner)
-	if i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2}); err != nil {
+	i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2})
+	if err != nil {
 		return nil, errors.Join(err, i.runner.Stop())
 	}
 	// What was agreed on last holds from the first request on, also while this instance is
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -65,7 +65,8 @@
 		return nil, bad("name", "%v", err)
 	}
 	for _, need := range []struct{ key, value string }{{"data", c.Data}, {"front.platform", c.Front.Platform},
-		{"keys.ca", c.Keys.CA}, {"keys.cert", c.Keys.Cert}, {"keys.key", c.Keys.Key}, {"control.socket", c.Control.Socket}} {
+		{"keys.ca", c.Keys.CA}, {"keys.cert", c.Keys.Cert}, {"keys.key", c.Keys.Key},
+		{"control.socket", c.Control.Socket}} {
 		if need.value == "" {
 			return nil, bad(need.key, "it must be given")
 		}
@@ -88,7 +89,8 @@
 	if t := time.Duration(c.Peers.Tick); t < 10*time.Millisecond || t > 5*time.Second {
 		return nil, bad("peers.tick", "%v is not from 10ms to 5s", t)
 	}
-	for _, p := range []*string{&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
+	for _, p := range []*string{
+		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
 		&c.Control.Socket} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -107,12 +107,21 @@
 }
 
 func (n *Network) dial(to agreement.Member) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+to.Address,
+	return grpc.NewClient(
+		"passthrough:///"+to.Address,
 		grpc.WithTransportCredentials(credentials.NewTLS(n.keys.Client(to.Name))),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second,
-			Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxMessage), grpc.MaxCallRecvMsgSize(MaxMessage)))
+			Backoff: backoff.Config{
+				BaseDelay:  100 * time.Millisecond,
+				Multiplier: 1.6,
+				Jitter:     0.2,
+				MaxDelay:   time.Second,
+			}}),
+		grpc.WithKeepaliveParams(
+			keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second},
+		),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxMessage), grpc.MaxCallRecvMsgSize(MaxMessage)),
+	)
 }
 
 func (n *Network) link(to agreement.Member) (*link, error) {
@@ -158,8 +167,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &schema.Envelope{Cluster: n.runner.Status().Cluster, From: m.GetFrom(), To: m.GetTo(), Message: raw,
-		FromName: n.self.Name, FromAddress: n.self.Address}, nil
+	return &schema.Envelope{
+		Cluster:     n.runner.Status().Cluster,
+		From:        m.GetFrom(),
+		To:          m.GetTo(),
+		Message:     raw,
+		FromName:    n.self.Name,
+		FromAddress: n.self.Address,
+	}, nil
 }
 
 // run sends what is queued, in order, over one stream at a time.
@@ -224,7 +239,9 @@
 	if err == nil {
 		_, err = schema.NewPeersClient(l.conn).Snapshot(ctx, e)
 	}
-	entry := l.n.log.WithFields(logrus.Fields{"peer": l.to.Name, "index": m.GetSnapshot().GetMetadata().GetIndex()})
+	entry := l.n.log.WithFields(
+		logrus.Fields{"peer": l.to.Name, "index": m.GetSnapshot().GetMetadata().GetIndex()},
+	)
 	if err != nil {
 		entry.WithError(err).Warn("a snapshot was not delivered")
 	} else {
@@ -235,12 +252,17 @@
 
 // Server gives the service, to be registered with a gRPC server made by Listener.
 func (n *Network) Server() *grpc.Server {
-	s := grpc.NewServer(grpc.Creds(credentials.NewTLS(n.keys.Server(keys.Instance))),
-		grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+	s := grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(n.keys.Server(keys.Instance))),
+		grpc.MaxRecvMsgSize(MaxMessage),
+		grpc.MaxSendMsgSize(MaxMessage),
+		grpc.KeepaliveEnforcementPolicy(
+			keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true},
+		),
 		// A connection goes by the certificates as they were when it was made.
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionAge: 10 * time.Minute,
-			MaxConnectionAgeGrace: 10 * time.Second, Time: 10 * time.Second, Timeout: 2 * time.Second}))
+			MaxConnectionAgeGrace: 10 * time.Second, Time: 10 * time.Second, Timeout: 2 * time.Second}),
+	)
 	schema.RegisterPeersServer(s, &server{n: n})
 	return s
 }
@@ -278,9 +300,19 @@
 	st := n.runner.Status()
 	switch {
 	case st.Cluster == "" || st.Cluster != e.Cluster:
-		return refuse(codes.FailedPrecondition, "the message is of group %q, this instance belongs to %q", e.Cluster, st.Cluster)
+		return refuse(
+			codes.FailedPrecondition,
+			"the message is of group %q, this instance belongs to %q",
+			e.Cluster,
+			st.Cluster,
+		)
 	case e.To != st.ID:
-		return refuse(codes.NotFound, "the message is for instance %x, this is %x: was its directory emptied?", e.To, st.ID)
+		return refuse(
+			codes.NotFound,
+			"the message is for instance %x, this is %x: was its directory emptied?",
+			e.To,
+			st.ID,
+		)
 	}
 	for _, m := range st.Members {
 		if m.ID == e.From && m.Name != e.FromName {
@@ -350,7 +382,8 @@
 	if err := s.n.runner.Join(ctx, in.Cluster); err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
-	s.n.log.WithFields(logrus.Fields{"group": in.Cluster, "by": caller(ctx)}).Info("this instance has joined a group")
+	s.n.log.WithFields(logrus.Fields{"group": in.Cluster, "by": caller(ctx)}).
+		Info("this instance has joined a group")
 	return s.Describe(ctx, nil)
 }
 
@@ -380,7 +413,8 @@
 	var refused *consensus.RefusedError
 	switch {
 	case err == nil:
-		n.log.WithFields(logrus.Fields{"operation": op.Kind.String(), "name": op.Name, "by": op.By}).Info("the group has changed")
+		n.log.WithFields(logrus.Fields{"operation": op.Kind.String(), "name": op.Name, "by": op.By}).
+			Info("the group has changed")
 		return &schema.Operated{Text: describe(op)}, nil
 	case errors.As(err, &elsewhere) && forward && elsewhere.Leader.Address != "":
 		conn, err := n.dial(elsewhere.Leader)
@@ -417,16 +451,30 @@
 			status.Convert(err).Message())
 	}
 	if d.Cluster != "" && d.Cluster != st.Cluster {
-		return 0, status.Errorf(codes.FailedPrecondition, "%s belongs to another group, %s", op.Name, d.Cluster)
+		return 0, status.Errorf(
+			codes.FailedPrecondition,
+			"%s belongs to another group, %s",
+			op.Name,
+			d.Cluster,
+		)
 	}
 	for _, m := range st.Members {
 		if m.Name == op.Name && m.ID != d.Id {
-			return 0, status.Errorf(codes.FailedPrecondition,
-				"the group has another instance %s (%x): if that one's disk is lost, remove it first", m.Name, m.ID)
+			return 0, status.Errorf(
+				codes.FailedPrecondition,
+				"the group has another instance %s (%x): if that one's disk is lost, remove it first",
+				m.Name,
+				m.ID,
+			)
 		}
 	}
 	if d, err = c.Invite(ctx, &schema.Invitation{Cluster: st.Cluster, Name: op.Name}); err != nil {
-		return 0, status.Errorf(codes.FailedPrecondition, "%s does not join: %s", op.Name, status.Convert(err).Message())
+		return 0, status.Errorf(
+			codes.FailedPrecondition,
+			"%s does not join: %s",
+			op.Name,
+			status.Convert(err).Message(),
+		)
 	}
 	return d.Id, nil
 }
--- a/internal/prove/story.go
+++ b/internal/prove/story.go
@@ -97,11 +97,25 @@
 	m := w.machines[w.faults.IntN(len(w.machines))]
 	// One at a time: a majority that has lost its word has lost what it agreed on, and
 	// nobody can be blamed for that but the operators.
+	var spare *machine
 	for _, o := range w.machines {
-		if o.inst == nil || !w.member(o) {
+		if o.spare {
+			spare = o
+		} else if o.inst == nil || !w.member(o) {
 			return "change put off"
 		}
 	}
+	if w.faults.IntN(2) == 0 {
+		if m == spare || spare.inst == nil {
+			return "change put off"
+		}
+		w.operate(lead, &schema.Operation{Kind: schema.Operation_REPLACE, Name: m.name, By: spare.name}, 0)
+		w.exchange(m, spare, 20)
+		return "replaced"
+	}
+	if m == spare {
+		return "change put off"
+	}
 	if w.faults.IntN(2) == 0 && m != lead {
 		// Its disk is gone, and with it its word: it must not vote under its old name.
 		m.die(false)
@@ -123,6 +137,22 @@
 	return "removed"
 }
 
+// exchange has a machine whose vote the spare one has taken become the spare one, once
+// that is sure: the change may be half-way for long, or never come about.
+func (w *world) exchange(m, spare *machine, left int) {
+	w.after(100, func() {
+		if lead := w.leader(); lead != nil && lead.inst.State().Removed(m.number) && m.inst != nil {
+			m.spare, spare.spare = true, false
+			m.die(false)
+			m.fs.Wipe()
+			w.after(400, func() { w.enter(m) })
+			w.enter(spare)
+		} else if left > 0 {
+			w.exchange(m, spare, left-1)
+		}
+	})
+}
+
 // member says whether the leader knows the machine as a voter.
 func (w *world) member(m *machine) bool {
 	if lead := w.leader(); lead != nil {
@@ -208,7 +238,13 @@
 		w.made++
 		base := state.Newest().Revision
 		id := fmt.Sprintf("c%d-%d", n, w.made)
-		c := agreement.Change{ID: id, Base: base, Author: id, At: time.UnixMilli(w.now), Document: document(w.made)}
+		c := agreement.Change{
+			ID:       id,
+			Base:     base,
+			Author:   id,
+			At:       time.UnixMilli(w.now),
+			Document: document(w.made),
+		}
 		w.propose(n, m, c, w.now, 8)
 	})
 }
@@ -294,13 +330,19 @@
 
 func (w *world) unknown(n int, c agreement.Change, call int64) {
 	w.res.Unknown++
-	w.history = append(w.history, porcupine.Operation{ClientId: n + 100 + len(w.history), Input: input{true, c.Base, c.ID},
-		Call: call, Output: output{unknown: true}, Return: 1 << 60})
+	w.history = append(
+		w.history,
+		porcupine.Operation{ClientId: n + 100 + len(w.history), Input: input{true, c.Base, c.ID},
+			Call: call, Output: output{unknown: true}, Return: 1 << 60},
+	)
 	w.client(n)
 }
 
 func (w *world) record(n int, in input, out output, call int64) {
-	w.history = append(w.history, porcupine.Operation{ClientId: n, Input: in, Call: call, Output: out, Return: w.now})
+	w.history = append(
+		w.history,
+		porcupine.Operation{ClientId: n, Input: in, Call: call, Output: out, Return: w.now},
+	)
 }
 
 // finale looks at everything once all is well again.
@@ -310,7 +352,12 @@
 	}
 	for id, revision := range w.acked {
 		if w.byRev[revision] != id {
-			w.violate("change %s was acknowledged as revision %d, which is %q: lost", id, revision, w.byRev[revision])
+			w.violate(
+				"change %s was acknowledged as revision %d, which is %q: lost",
+				id,
+				revision,
+				w.byRev[revision],
+			)
 		}
 	}
 	lead := w.leader()
--- a/internal/prove/world.go
+++ b/internal/prove/world.go
@@ -87,6 +87,7 @@
 	inst     *consensus.Instance // nil while it is down
 	store    *store.Store
 	number   uint64
+	spare    bool // it follows without a vote, to take another's
 	life     int // grows at each start: what an earlier life had on its way is dropped
 	pace     int64
 	dieIn    int // calls of the log until it dies; 0: it doesn't
@@ -125,8 +126,9 @@
 		o.Steps = 40
 	}
 	w := &world{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), faults: rand.New(rand.NewPCG(o.Seed, 2)),
-		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, states: map[uint64][32]byte{}, byRev: map[uint64]string{},
-		byID: map[string]uint64{}, acked: map[string]uint64{}, log: logrus.New(), numbers: 100}
+		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, states: map[uint64][32]byte{},
+		byRev: map[uint64]string{},
+		byID:  map[string]uint64{}, acked: map[string]uint64{}, log: logrus.New(), numbers: 100}
 	w.log.SetOutput(io.Discard)
 	if o.Trace != nil {
 		w.log.SetOutput(o.Trace)
@@ -183,6 +185,7 @@
 		return
 	}
 	first.drive()
+	w.add("spare").spare = true
 	for _, m := range w.machines[1:] {
 		w.enter(m)
 	}
@@ -204,8 +207,10 @@
 
 // document is a valid one that is unlike others.
 func document(n int) *agreement.Document {
-	return &agreement.Document{Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Aim: 1e9,
-		Worth: float64(n)}}}
+	return &agreement.Document{
+		Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Aim: 1e9,
+			Worth: float64(n)}},
+	}
 }
 
 func (w *world) add(name string) *machine {
@@ -237,8 +242,13 @@
 		return
 	}
 	w.numbers++
-	m.inst, err = consensus.New(consensus.Config{SnapshotEvery: 25, KeepEntries: 5, Seed: w.o.Seed<<16 + uint64(m.life),
-		Log: w.log.WithField("at", m.name)}, saved, w.numbers, m.name)
+	m.inst, err = consensus.New(
+		consensus.Config{SnapshotEvery: 25, KeepEntries: 5, Seed: w.o.Seed<<16 + uint64(m.life),
+			Log: w.log.WithField("at", m.name)},
+		saved,
+		w.numbers,
+		m.name,
+	)
 	if err != nil {
 		w.violate("%s can't start: %v", m.name, err)
 		return
@@ -503,7 +513,7 @@
 	var op *schema.Operation
 	for _, s := range lead.inst.Status().Members {
 		switch {
-		case s.ID == m.number && s.Voter:
+		case s.ID == m.number && (s.Voter || m.spare):
 			return
 		case s.ID == m.number:
 			op = &schema.Operation{Kind: schema.Operation_PROMOTE, Name: m.name}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -83,7 +83,11 @@
 	if crc32.Checksum(b[4:size], castagnoli) != binary.LittleEndian.Uint32(b) {
 		return r, 0, "the record's checksum is wrong"
 	}
-	return Record{Seq: binary.LittleEndian.Uint64(b[8:]), Kind: b[16], Data: b[recordHeader:size:size]}, size, ""
+	return Record{
+		Seq:  binary.LittleEndian.Uint64(b[8:]),
+		Kind: b[16],
+		Data: b[recordHeader:size:size],
+	}, size, ""
 }
 
 func appendSegmentHeader(to []byte, first uint64) []byte {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -29,7 +29,13 @@
 }
 
 func (t *Tear) String() string {
-	return fmt.Sprintf("%s: %d bytes from byte %d on were never acknowledged (%s)", t.File, t.Bytes, t.Offset, t.Reason)
+	return fmt.Sprintf(
+		"%s: %d bytes from byte %d on were never acknowledged (%s)",
+		t.File,
+		t.Bytes,
+		t.Offset,
+		t.Reason,
+	)
 }
 
 // segment is a file of the log as it was found.
@@ -136,10 +142,18 @@
 		w.emptyTail = path
 		return nil
 	case len(w.segments) == 0 && first > w.next:
-		return &CorruptError{path, 0, fmt.Sprintf("the log begins with record %d, wanted is %d: a file is missing",
-			first, w.next)}
+		return &CorruptError{
+			path,
+			0,
+			fmt.Sprintf("the log begins with record %d, wanted is %d: a file is missing",
+				first, w.next),
+		}
 	case len(w.segments) > 0 && first != w.next:
-		return &CorruptError{path, 0, fmt.Sprintf("the segment begins with record %d, wanted is %d", first, w.next)}
+		return &CorruptError{
+			path,
+			0,
+			fmt.Sprintf("the segment begins with record %d, wanted is %d", first, w.next),
+		}
 	}
 	seq, at := first, segmentHeader
 	for at < len(b) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -211,7 +211,11 @@
 	s.buf = s.buf[:0]
 	for i, r := range records {
 		if r.Kind == seal || len(r.Data) > MaxRecord {
-			return 0, fmt.Errorf("store: a record of kind %d with %d bytes can't be kept", r.Kind, len(r.Data))
+			return 0, fmt.Errorf(
+				"store: a record of kind %d with %d bytes can't be kept",
+				r.Kind,
+				len(r.Data),
+			)
 		}
 		s.buf = appendRecord(s.buf, first+uint64(i), r.Kind, r.Data)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -61,7 +61,10 @@
 				if rng.IntN(10) == 0 {
 					fs.Room = int64(rng.IntN(60))
 				}
-				_, err := s.Append(store.Record{Kind: 1, Data: []byte(text)}, store.Record{Kind: 2, Data: []byte("b")})
+				_, err := s.Append(
+					store.Record{Kind: 1, Data: []byte(text)},
+					store.Record{Kind: 2, Data: []byte("b")},
+				)
 				fs.Room = -1
 				story = append(story, fmt.Sprint("append ", err))
 				if err == nil {
@@ -115,8 +118,14 @@
 				}
 				got := base + len(c.records)
 				if got < durable || got > len(all) || !slices.Equal(c.records, all[base:got]) {
-					t.Fatalf("seed %d: %d records are back of %d durable, %d appended\n%s", seed, got, durable,
-						len(all), story)
+					t.Fatalf(
+						"seed %d: %d records are back of %d durable, %d appended\n%s",
+						seed,
+						got,
+						durable,
+						len(all),
+						story,
+					)
 				}
 				all, durable = all[:got], got
 			}
@@ -278,7 +287,8 @@
 	b[40] ^= 4
 	must(t, os.WriteFile(names[0], b, 0o600))
 	var damaged *store.CorruptError
-	if _, err := store.Check(dir, nil); !errors.As(err, &damaged) || damaged.File != names[0] || damaged.Offset != 24 {
+	if _, err := store.Check(dir, nil); !errors.As(err, &damaged) || damaged.File != names[0] ||
+		damaged.Offset != 24 {
 		t.Errorf("the checker says %v", err)
 	}
 }
