--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run proto
+.PHONY: build test lint run prove proto
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -14,6 +14,11 @@
 run: build
 	BALANCER_CONFIG=$${BALANCER_CONFIG:-deploy/example.json} exec bin/moorstack -faktory deploy/faktory.toml
 
+# Seeded stories of failure, then real processes whose leader is killed.
+prove: build
+	bin/moorstack prove config --seeds 40
+	bin/moorstack prove config --processes --changes 60
+
 # The Go of the schemas. It needs protoc and the two plug-ins of these versions.
 PROTOC_GEN_GO = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 PROTOC_GEN_GO_GRPC = google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.0
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -22,7 +22,9 @@
 }
 
 func document(worth float64) *agreement.Document {
-	return &agreement.Document{Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Worth: worth}}}
+	return &agreement.Document{
+		Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Worth: worth}},
+	}
 }
 
 // alone is an instance that is a group by itself, and what it has told.
@@ -106,7 +108,8 @@
 		"the last instance with a vote can't be removed": {Kind: schema.Operation_REMOVE, Name: "n1"},
 		`the group has no instance "n9"`:                 {Kind: schema.Operation_PROMOTE, Name: "n9"},
 		"n1 has a vote already":                          {Kind: schema.Operation_PROMOTE, Name: "n1"},
-		"n1 is at 127.0.0.1:1 already":                   {Kind: schema.Operation_ADD, Name: "n2", Address: "127.0.0.1:1"},
+		"n1 is at 127.0.0.1:1 already":                   {Kind: schema.Operation_ADD, Name: "n2",
+			Address: "127.0.0.1:1"},
 	} {
 		ticket := a.Operate(op, 99)
 		a.drive(t)
@@ -151,11 +154,22 @@
 	}
 	u := proto.Uint64
 	add(&pb.Message{Type: pb.MsgApp.Enum(), From: u(78), To: u(77), Term: u(9), LogTerm: u(1), Index: u(1),
-		Entries: []*pb.Entry{{Index: u(2), Term: u(9), Type: pb.EntryNormal.Enum(), Data: []byte("x")}}, Commit: u(2)})
+		Entries: []*pb.Entry{
+			{Index: u(2), Term: u(9), Type: pb.EntryNormal.Enum(), Data: []byte("x")},
+		}, Commit: u(2)})
 	add(&pb.Message{Type: pb.MsgHeartbeat.Enum(), From: u(78), To: u(77), Term: u(9), Commit: u(1 << 40)})
 	add(&pb.Message{Type: pb.MsgSnap.Enum(), From: u(78), To: u(77), Term: u(9), Snapshot: &pb.Snapshot{
-		Data: []byte("{}"), Metadata: &pb.SnapshotMetadata{Index: u(9), Term: u(9), ConfState: &pb.ConfState{}}}})
-	add(&pb.Message{Type: pb.MsgProp.Enum(), From: u(78), To: u(77), Entries: []*pb.Entry{{Data: []byte("x")}}})
+		Data: []byte(
+			"{}",
+		), Metadata: &pb.SnapshotMetadata{Index: u(9), Term: u(9), ConfState: &pb.ConfState{}}}})
+	add(
+		&pb.Message{
+			Type:    pb.MsgProp.Enum(),
+			From:    u(78),
+			To:      u(77),
+			Entries: []*pb.Entry{{Data: []byte("x")}},
+		},
+	)
 	add(&pb.Message{Type: pb.MsgProp.Enum(), From: u(78), To: u(77), Entries: []*pb.Entry{{
 		Type: pb.EntryConfChangeV2.Enum(), Data: []byte("x")}}})
 	add(&pb.Message{Type: pb.MsgHup.Enum(), From: u(78), To: u(77)})
--- a/internal/faktory/config.go
+++ b/internal/faktory/config.go
@@ -10,9 +10,8 @@
 	"fmt"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"moorstack/brain"
+	"moorstack/internal/tomlfile"
 )
 
 // Config is the file that -faktory names.
@@ -35,12 +34,8 @@
 func ReadConfig(path string) (*Config, error) {
 	c := &Config{Connections: 256, LineBytes: 64 << 10, Jobs: 10000, Bytes: 32 << 20, Keep: 10 * time.Minute,
 		Silence: time.Minute, Reserve: 30 * time.Minute, ReserveLeast: time.Minute, Queue: 25}
-	meta, err := toml.DecodeFile(path, c)
-	if err != nil {
-		return nil, fmt.Errorf("reading %s: %w", path, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("reading %s: unknown key %q", path, unknown[0].String())
+	if err := tomlfile.Read(path, c); err != nil {
+		return nil, err
 	}
 	if c.Listen == "" {
 		return nil, fmt.Errorf("reading %s: no listen address", path)
--- a/internal/prove/world.go
+++ b/internal/prove/world.go
@@ -88,7 +88,7 @@
 	store    *store.Store
 	number   uint64
 	spare    bool // it follows without a vote, to take another's
-	life     int // grows at each start: what an earlier life had on its way is dropped
+	life     int  // grows at each start: what an earlier life had on its way is dropped
 	pace     int64
 	dieIn    int // calls of the log until it dies; 0: it doesn't
 	told     uint64
