--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -108,7 +108,7 @@
 		"the last instance with a vote can't be removed": {Kind: schema.Operation_REMOVE, Name: "n1"},
 		`the group has no instance "n9"`:                 {Kind: schema.Operation_PROMOTE, Name: "n9"},
 		"n1 has a vote already":                          {Kind: schema.Operation_PROMOTE, Name: "n1"},
-		"n1 is at 127.0.0.1:1 already":                   {Kind: schema.Operation_ADD, Name: "n2",
+		"n1 is at 127.0.0.1:1 already": {Kind: schema.Operation_ADD, Name: "n2",
 			Address: "127.0.0.1:1"},
 	} {
 		ticket := a.Operate(op, 99)
