Route jobs by operators' rules: pools in order, spill-over, splits, refusals

A node's only route was its zone and class; teams need their jobs kept to pools, sent elsewhere when those are short, split for a canary, or refused with a reason.

internal/routing compiles a TOML file into a table with a bit index over class, tenant, front, queue, job type, host and path; the first rule that matches decides. Both fronts ask the table where there is one. Rules come from front.routes, read anew on SIGHUP, or from the agreed configuration's section routes, and come into force with classes and tenants as one whole.

--- a/brain/api.go
+++ b/brain/api.go
@@ -161,6 +161,21 @@
 	State State
 	Size  float64
 	Since time.Duration // when it last started; 0: a long time ago
+
+	Labels []string // the operators' words for it; decisions go by them only through a Route
+}
+
+// Route narrows the workers that a request may go to, and orders them in tiers. The draw
+// is made among those of one tier. It must give the same answers as long as the request
+// is open, and lifts no bar: what may not be sent to a worker anyway is not sent.
+type Route interface {
+	// Tiers is how many there are.
+	Tiers() int
+	// Tier is where a worker stands: from 0, the most wanted. Below 0: not at all.
+	Tier(w *Worker) int
+	// Spills says whether a request that no worker of a tier takes now may go on to the
+	// next: busy, because the wait there is not worth it; else no worker there may have it.
+	Spills(tier int, busy bool) bool
 }
 
 // ListKind says how a list event is to be read.
@@ -184,6 +199,9 @@
 	Slots  float64       // slots that it takes; 0: not told
 	Memory float64       // units of memory that it takes; 0: not told
 	Repeat bool          // the client marks it as a repeat
+
+	Route    Route // nil: any worker
+	Attempts int   // within the class's; 0: as many
 }
 
 // Result says how an attempt or a probe ended.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,13 +43,19 @@
 }
 
 // try starts an attempt if a worker is eligible and the wait there worth it.
+//
+// Where its route has tiers, the first is tried that has one, and the next ones as the route says.
 func (b *Balancer) try(now time.Duration, q *request) bool {
-	w := b.pick(now, q)
-	if w == nil || !b.worthIt(now, q, w) {
-		return false
+	for q.tier = 0; ; {
+		w := b.pick(now, q)
+		if w != nil && b.worthIt(now, q, w) {
+			b.send(now, q, w)
+			return true
+		}
+		if !q.spills(w != nil) {
+			return false
+		}
 	}
-	b.send(now, q, w)
-	return true
 }
 
 // pick is the mechanism: draw d distinct eligible workers afresh, take the one that holds the
@@ -117,7 +123,7 @@
 // Hazard: where many dispatchers share workers, each one's counts are zero and what it knows of a queue is
 // long past. An answer that does not come soon tells of a worker that is gone or busy.
 func (b *Balancer) ask(now time.Duration, q *request) bool {
-	q.asked, q.heard, q.heldT = q.asked[:0], 0, now
+	q.asked, q.heard, q.heldT, q.tier = q.asked[:0], 0, now, 0
 	b.blind = b.set.ReportProbed && b.set.Limits.Probes &&
 		float64(len(b.workers))*b.watched > b.arrived*b.patience.Seconds()*stale
 	if !b.blind {
@@ -444,11 +450,11 @@
 func (b *Balancer) may(now time.Duration, q *request, w *worker) bool {
 	c := q.class
 	// Hazards: an answer is given twice; the tries or the time are used up.
-	if q.over || now >= q.deadline || len(q.tries) >= b.attempts(c) {
+	if q.over || now >= q.deadline || len(q.tries) >= b.attempts(q) {
 		return false
 	}
 	// Hazard: a draining worker gets new work.
-	if w.State != Ready || c.Kind >= 0 && c.Kind != w.Kind {
+	if w.State != Ready || c.Kind >= 0 && c.Kind != w.Kind || !q.onRoute(w) {
 		return false
 	}
 	// Hazard: two attempts out at once where that is not allowed.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1168,10 +1168,10 @@
 	}
 	b.Configure(set)
 	r.request(Request{ID: "new", Left: 10 * time.Second})
-	if got := b.attempts(b.open["old"].class); got != 2 {
+	if got := b.attempts(b.open["old"]); got != 2 {
 		t.Errorf("an open request has %d attempts, came with 2", got)
 	}
-	if got := b.attempts(b.open["new"].class); got != 5 {
+	if got := b.attempts(b.open["new"]); got != 5 {
 		t.Errorf("a new request has %d attempts, not the 5 of the limits", got)
 	}
 	if b.open["old"].class.Worth != 1 || b.open["new"].class.Worth != 7 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -72,6 +72,7 @@
 type request struct {
 	Request
 	class    *Class // as it was when the request came
+	tier     int    // of its route, that it is tried at
 	deadline time.Duration
 	asked    []*worker     // for their loads, those that have answered first
 	heard    int           // how many have
@@ -348,12 +349,28 @@
 	return q, &q.tries[n]
 }
 
-// attempts is how many a request of the class may have.
-func (b *Balancer) attempts(c *Class) int {
-	if c.Attempts > 0 {
-		return min(c.Attempts, b.set.Limits.Attempts)
+// attempts is how many a request may have: the least of what the deployment, its class
+// and its route say.
+func (b *Balancer) attempts(q *request) int {
+	n := b.set.Limits.Attempts
+	for _, most := range [...]int{q.class.Attempts, q.Attempts} {
+		if most > 0 {
+			n = min(n, most)
+		}
+	}
+	return n
+}
+
+// onRoute reports whether w stands where q is tried now.
+func (q *request) onRoute(w *worker) bool { return q.Route == nil || q.Route.Tier(&w.Worker) == q.tier }
+
+// spills moves q on to the next tier of its route, if there is one and its route says so.
+func (q *request) spills(busy bool) bool {
+	if q.Route == nil || q.tier+1 >= q.Route.Tiers() || !q.Route.Spills(q.tier, busy) {
+		return false
 	}
-	return b.set.Limits.Attempts
+	q.tier++
+	return true
 }
 
 // admit enters a new request into the table, or returns nil if its ID is known already.
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -140,7 +140,7 @@
 		"not plain text":          func(d *Document) { d.Sections["a b"] = nil },
 		"levels says no":          func(d *Document) { d.Sections["levels"]["a"] = "no" },
 	} {
-		rules := Rules{Sections: map[string]SectionRule{"levels": func(v map[string]string) []string {
+		rules := Rules{Sections: map[string]SectionRule{"levels": func(_ *Document, v map[string]string) []string {
 			if v["a"] == "no" {
 				return []string{"levels says no"}
 			}
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -10,7 +10,7 @@
 )
 
 // SectionRule checks a section that the program knows. It must be a pure function.
-type SectionRule func(values map[string]string) []string
+type SectionRule func(d *Document, values map[string]string) []string
 
 // Rules are what documents are checked by. Every instance of a group must have the same.
 type Rules struct {
@@ -65,7 +65,7 @@
 	if sum > 1+1e-9 {
 		p.add("tenant", "the shares add up to %.4g, which is more than 1", sum)
 	}
-	p.sections(r, d.Sections)
+	p.sections(r, d)
 	return p
 }
 
@@ -158,7 +158,8 @@
 	}
 }
 
-func (p *problems) sections(r Rules, sections map[string]map[string]string) {
+func (p *problems) sections(r Rules, d *Document) {
+	sections := d.Sections
 	if len(sections) > maxSections {
 		p.add("section", "there are %d, %d are allowed", len(sections), maxSections)
 	}
@@ -177,7 +178,7 @@
 			}
 		}
 		if rule := r.Sections[name]; rule != nil {
-			for _, why := range rule(values) {
+			for _, why := range rule(d, values) {
 				p.add(at, "%s", why)
 			}
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,10 @@
 	Memory float64
 	Repeat bool
 	Job    any // what the front gives its next hops to work on
+
+	Route    brain.Route   // nil: any next hop
+	Attempts int           // within the class's; 0: as many
+	Limit    time.Duration // of each branch, within Left; 0: none of its own
 }
 
 // NextHop is a worker as a front reaches it.
@@ -92,6 +96,7 @@
 	Zone, Kind, Cell int
 	State            brain.State
 	Size             float64
+	Labels           []string
 	Since            time.Duration // on the core's clock; 0: long ago
 	Hop              NextHop       // nil for one that is removed
 }
@@ -209,7 +214,8 @@
 	c.do(func() {
 		now := c.clock.Now()
 		c.bal.Request(now, brain.Request{ID: id, Class: t.Class, Tenant: t.Tenant, Left: tr.deadline - now,
-			Work: t.Work, Slots: t.Slots, Memory: t.Memory, Repeat: t.Repeat})
+			Work: t.Work, Slots: t.Slots, Memory: t.Memory, Repeat: t.Repeat, Route: t.Route,
+			Attempts: t.Attempts})
 	})
 	return nil
 }
@@ -319,7 +325,7 @@
 		}
 		h.gone = e.State == brain.Removed
 		list = append(list, brain.Worker{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State,
-			Size: e.Size, Since: e.Since})
+			Size: e.Size, Since: e.Since, Labels: e.Labels})
 	}
 	for id, h := range c.hops {
 		if (kind == brain.Whole || kind == brain.Cached) && !named[id] {
@@ -373,6 +379,9 @@
 	if until <= 0 || until > t.deadline {
 		until = t.deadline
 	}
+	if t.Limit > 0 {
+		until = min(until, now+t.Limit)
+	}
 	h := c.hops[w]
 	known := h != nil && h.NextHop != nil
 	if h == nil {
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -11,6 +11,7 @@
 	"moorstack/brain"
 	"moorstack/internal/core"
 	"moorstack/internal/net"
+	"moorstack/internal/routing"
 	"moorstack/internal/slots"
 )
 
@@ -29,6 +30,7 @@
 	held     int // bytes of the jobs that are open
 	lastCell int
 	draining bool
+	routes   *routing.Table // nil: jobs go where brain will
 	began    time.Duration
 	counts   struct{ refused, served, failed, commands int }
 }
@@ -67,6 +69,9 @@
 	return err
 }
 
+// SetRoutes has jobs go by these rules, from the next one on; nil: by none.
+func (f *Front) SetRoutes(t *routing.Table) { f.routes = t }
+
 // Configure takes over the classes' times, from the next job on.
 func (f *Front) Configure(set brain.Settings) { f.set = set }
 
@@ -136,10 +141,13 @@
 	if err := json.Unmarshal(text, &j.body); err != nil {
 		return fmt.Errorf("the job is not JSON as it should be: %v", err)
 	}
-	t, err := f.transaction(j)
+	t, d, err := f.transaction(j)
 	if err != nil {
 		return err
 	}
+	if d.Refused != "" {
+		return busy(d.Refused, max(d.RetryAfter, time.Second))
+	}
 	j.digest = sha256.Sum256(append([]byte(j.Type+"\x00"), j.Args...))
 	j.Args = nil
 	if old := f.jobs[j.JID]; old != nil && !old.refused {
@@ -189,47 +197,60 @@
 	return nil
 }
 
-func (f *Front) transaction(j *job) (t core.Transaction, err error) {
+func (f *Front) transaction(j *job) (t core.Transaction, d routing.Decision, err error) {
 	if n := len(j.JID); n < 8 || n > 200 {
-		return t, fmt.Errorf("jid must have 8 to 200 characters")
+		return t, d, fmt.Errorf("jid must have 8 to 200 characters")
 	}
 	if j.Type == "" {
-		return t, fmt.Errorf("jobtype is missing")
+		return t, d, fmt.Errorf("jobtype is missing")
 	}
 	if len(j.Args) == 0 || j.Args[0] != '[' {
-		return t, fmt.Errorf("args must be an array")
+		return t, d, fmt.Errorf("args must be an array")
 	}
 	if j.At != "" {
-		return t, fmt.Errorf("jobs for later are not taken")
-	}
-	class, ok := f.classes[j.Type]
-	if !ok {
-		return t, fmt.Errorf("jobtype %.60q has no class", j.Type)
+		return t, d, fmt.Errorf("jobs for later are not taken")
 	}
 	if j.Queue == "" {
 		j.Queue = "default"
 	}
-	t = core.Transaction{ID: j.JID, Class: class, Left: f.set.Classes[class].Deadline, Job: j,
-		Slots: j.Custom.Slots}
-	if d := j.Custom.Deadline; d != nil {
-		if !(*d > 0 && *d <= 86400) {
-			return t, fmt.Errorf("custom.deadline must be seconds, above 0 and up to a day")
+	t = core.Transaction{ID: j.JID, Class: -1, Job: j, Slots: j.Custom.Slots,
+		Work: time.Duration(j.Custom.Cost * float64(time.Second))}
+	if class, ok := f.classes[j.Type]; ok {
+		t.Class = class
+	}
+	tenant := -1
+	if j.Custom.Tenant != "" {
+		var ok bool
+		if tenant, ok = f.tenants[j.Custom.Tenant]; !ok {
+			return t, d, fmt.Errorf("custom.tenant names no tenant")
+		}
+		t.Tenant = tenant
+	}
+	if f.routes != nil {
+		d = f.routes.Decide(&routing.Job{Front: "faktory", Class: t.Class, Tenant: tenant, Queue: j.Queue,
+			Type: j.Type, Cost: t.Work, ID: t.ID})
+		t.Class, t.Route, t.Attempts, t.Limit = d.Class, d.Route, d.Attempts, d.Timeout
+		if d.Refused != "" {
+			return t, d, nil
 		}
-		t.Left = time.Duration(*d * float64(time.Second))
 	}
-	if r := j.ReserveFor; r != nil && !(*r > 0 && *r <= 86400) {
-		return t, fmt.Errorf("reserve_for must be seconds, above 0 and up to a day")
+	if t.Class < 0 {
+		return t, d, fmt.Errorf("jobtype %.60q has no class", j.Type)
 	}
-	if j.Custom.Tenant != "" {
-		if t.Tenant, ok = f.tenants[j.Custom.Tenant]; !ok {
-			return t, fmt.Errorf("custom.tenant names no tenant")
+	t.Left = f.set.Classes[t.Class].Deadline
+	if within := j.Custom.Deadline; within != nil {
+		if !(*within > 0 && *within <= 86400) {
+			return t, d, fmt.Errorf("custom.deadline must be seconds, above 0 and up to a day")
 		}
+		t.Left = time.Duration(*within * float64(time.Second))
+	}
+	if r := j.ReserveFor; r != nil && !(*r > 0 && *r <= 86400) {
+		return t, d, fmt.Errorf("reserve_for must be seconds, above 0 and up to a day")
 	}
 	if c := j.Custom.Cost; c < 0 || c > 86400 || t.Slots < 0 || t.Slots > 1e6 {
-		return t, fmt.Errorf("custom.cost or custom.slots is out of range")
+		return t, d, fmt.Errorf("custom.cost or custom.slots is out of range")
 	}
-	t.Work = time.Duration(j.Custom.Cost * float64(time.Second))
-	return t, nil
+	return t, d, nil
 }
 
 // Answer keeps the final answer for the producer to look up.
@@ -302,6 +323,7 @@
 	front    *Front
 	wid      string
 	cell     int
+	labels   []string
 	conns    map[*conn]struct{}
 	parked   []*conn                 // whose FETCH waits, the oldest first
 	assigned []*reservation          // by the core, not fetched yet
@@ -332,7 +354,7 @@
 	s := f.sessions[wid]
 	if s == nil {
 		f.lastCell--
-		s = &session{front: f, wid: wid, cell: f.lastCell, conns: map[*conn]struct{}{},
+		s = &session{front: f, wid: wid, cell: f.lastCell, labels: labels, conns: map[*conn]struct{}{},
 			reserved: map[string]*reservation{}}
 		for _, l := range labels {
 			var pod uint16
@@ -358,7 +380,8 @@
 }
 
 func (s *session) tell(state brain.State) {
-	e := core.Entry{Name: s.wid, Zone: s.front.set.Zone, Cell: s.cell, State: state, Size: 1, Hop: s}
+	e := core.Entry{Name: s.wid, Zone: s.front.set.Zone, Cell: s.cell, State: state, Size: 1, Hop: s,
+		Labels: s.labels}
 	if state == brain.Removed {
 		e.Hop = nil
 	}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -7,6 +7,7 @@
 	stdnet "net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"moorstack/internal/control"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
+	"moorstack/internal/routing"
 	"moorstack/internal/schema"
 )
 
@@ -30,6 +32,8 @@
 	program string
 	node    *Node
 	own     brain.Settings // what this instance's own files say
+	names   routing.Names
+	file    string // of its own rules, if it has one
 	runner  *consensus.Runner
 	network *peers.Network
 	peers   *grpc.Server
@@ -38,6 +42,7 @@
 
 	mu      sync.Mutex
 	running uint64
+	current agreement.Revision
 	problem string
 }
 
@@ -66,9 +71,20 @@
 	if i.own, err = platformCfg.Settings.Brain(); err != nil {
 		return nil, err
 	}
+	i.names = routing.Names{Zones: platformCfg.Settings.Zones, Kinds: platformCfg.Settings.Kinds}
+	for _, c := range i.own.Classes {
+		i.names.Classes = append(i.names.Classes, c.Name)
+	}
+	for _, t := range i.own.Tenants {
+		i.names.Tenants = append(i.names.Tenants, t.Name)
+	}
+	i.file = cfg.Front.Routes
+	if _, err := i.ownRoutes(); err != nil {
+		return nil, err
+	}
 	i.network = peers.New(k, cfg.Name, cfg.Peers.Listen, program, log.WithField("part", "peers"))
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
-		Config: consensus.Config{Log: log.WithField("part", "agreement")}, Name: cfg.Name,
+		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: i.agreed})
 	if err != nil {
@@ -83,6 +99,13 @@
 	// cut off: the files' own word is older.
 	if r, ok := i.runner.Agreed(); ok {
 		i.apply(r, i.node.configure)
+	} else if err := i.reroute(); err != nil {
+		return nil, errors.Join(err, i.runner.Stop())
+	}
+	i.node.Reloaded = func() {
+		if err := i.reroute(); err != nil {
+			log.WithError(err).Error("the rules stay as they were")
+		}
 	}
 	if err := i.listen(k); err != nil {
 		return nil, err
@@ -149,10 +172,14 @@
 }
 
 // apply puts a revision in force at the fronts.
-func (i *Instance) apply(r agreement.Revision, configure func(brain.Settings) error) {
-	set, err := r.Document.Onto(i.own)
+func (i *Instance) apply(r agreement.Revision, configure func(Terms) error) {
+	var t Terms
+	var err error
+	if t.Settings, err = r.Document.Onto(i.own); err == nil {
+		t.Routes, err = i.routes(r.Document)
+	}
 	if err == nil {
-		err = configure(set)
+		err = configure(t)
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -167,10 +194,104 @@
 	if r.Revision < i.running {
 		return
 	}
-	i.running, i.problem = r.Revision, ""
+	i.running, i.current, i.problem = r.Revision, r, ""
 	entry.Info("the fronts run this configuration")
 }
 
+// RoutesSection is the section of the agreed document that holds the rules, as the text of
+// a file under the key "toml".
+const RoutesSection = "routes"
+
+// Rules are what all instances check documents by. Zones and kinds are each instance's
+// own, and not checked here.
+func Rules() agreement.Rules {
+	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes}}
+}
+
+func checkRoutes(d *agreement.Document, values map[string]string) []string {
+	var wrong []string
+	for key := range values {
+		if key != "toml" {
+			wrong = append(wrong, fmt.Sprintf("%q is no key of this section; toml is", key))
+		}
+	}
+	slices.Sort(wrong)
+	names := routing.Names{Classes: []string{}, Tenants: []string{}}
+	for _, c := range d.Classes {
+		names.Classes = append(names.Classes, c.Name)
+	}
+	for _, t := range d.Tenants {
+		names.Tenants = append(names.Tenants, t.Name)
+	}
+	f, err := routing.Parse(RoutesSection, []byte(values["toml"]))
+	if err == nil {
+		_, _, err = routing.Compile(f, names)
+	}
+	if err != nil {
+		wrong = append(wrong, err.Error())
+	}
+	return wrong
+}
+
+// routes compiles the rules of an agreed document, or this instance's own where the group
+// has agreed on none.
+func (i *Instance) routes(d *agreement.Document) (*routing.Table, error) {
+	section, ok := d.Sections[RoutesSection]
+	if !ok {
+		return i.ownRoutes()
+	}
+	return i.compile(RoutesSection, []byte(section["toml"]))
+}
+
+func (i *Instance) ownRoutes() (*routing.Table, error) {
+	if i.file == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(i.file)
+	if err != nil {
+		return nil, err
+	}
+	return i.compile(i.file, raw)
+}
+
+func (i *Instance) compile(path string, raw []byte) (*routing.Table, error) {
+	f, err := routing.Parse(path, raw)
+	if err != nil {
+		return nil, err
+	}
+	t, warnings, err := routing.Compile(f, i.names)
+	for _, w := range warnings {
+		i.log.WithField("rule", w.Rule).Warn(w.Error())
+	}
+	return t, err
+}
+
+// reroute reads this instance's own rules anew, where it runs by them. It is called on the
+// node's loop, or before that runs.
+func (i *Instance) reroute() error {
+	if r, ok := i.agreedNow(); ok {
+		if _, theirs := r.Document.Sections[RoutesSection]; theirs {
+			return nil
+		}
+	}
+	t, err := i.ownRoutes()
+	if err != nil {
+		return err
+	}
+	for _, c := range i.node.cores {
+		c.routes(t)
+	}
+	i.log.Info("the rules were read")
+	return nil
+}
+
+// agreedNow is the revision that the fronts run last.
+func (i *Instance) agreedNow() (agreement.Revision, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.current, i.running > 0
+}
+
 // Runner implements control.Host.
 func (i *Instance) Runner() *consensus.Runner { return i.runner }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"moorstack/internal/faktory"
 	"moorstack/internal/net"
 	"moorstack/internal/platform"
+	"moorstack/internal/routing"
 )
 
 // Options are what a node is built from.
@@ -30,6 +31,9 @@
 
 // Node is a node that serves.
 type Node struct {
+	// Reloaded, where it is set, is called on SIGHUP, on the node's loop.
+	Reloaded func()
+
 	loop  *net.Loop
 	log   logrus.FieldLogger
 	front *platform.Front
@@ -42,7 +46,8 @@
 	*core.Core
 	fit func(brain.Settings) brain.Settings
 	// told, where it is set, is the front's word of settings that its core has taken over.
-	told func(brain.Settings)
+	told   func(brain.Settings)
+	routes func(*routing.Table)
 }
 
 // clock is the loop's clock as the core takes it.
@@ -77,7 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.cores = append(n.cores, hosted{Core: c, fit: func(s brain.Settings) brain.Settings { return s }})
+	n.cores = append(n.cores, hosted{Core: c, fit: func(s brain.Settings) brain.Settings { return s },
+		routes: n.front.SetRoutes})
 	if err := n.front.Open(c); err != nil {
 		return nil, err
 	}
@@ -109,7 +115,7 @@
 	if err := front.Open(c); err != nil {
 		return nil, err
 	}
-	n.cores = append(n.cores, hosted{c, faktory.Settings, front.Configure})
+	n.cores = append(n.cores, hosted{c, faktory.Settings, front.Configure, front.SetRoutes})
 	log.WithField("listen", cfg.Listen).Info("serving")
 	return front, nil
 }
@@ -125,6 +131,9 @@
 			n.loop.Post(func() {
 				if sig == syscall.SIGHUP {
 					n.front.Reload()
+					if n.Reloaded != nil {
+						n.Reloaded()
+					}
 					return
 				}
 				n.log.Info("asked to end")
@@ -135,16 +144,24 @@
 	return n.loop.Run()
 }
 
-// Configure takes over the classes and tenants of the settings, in all cores as one
-// whole between two events of the loop. It may be called from any goroutine and
-// returns when it is done: with an error if a core can't take them, and then none has.
-func (n *Node) Configure(set brain.Settings) error {
+// Terms are what a running node can take over: the classes and tenants of settings, and
+// the rules by which jobs are routed.
+type Terms struct {
+	Settings brain.Settings
+	Routes   *routing.Table // nil: jobs go where brain will
+}
+
+// Configure takes terms over, in all cores and fronts as one whole between two events of
+// the loop. It may be called from any goroutine and returns when it is done: with an error
+// if a core can't take them, and then none has.
+func (n *Node) Configure(t Terms) error {
 	done := make(chan error, 1)
-	n.loop.Post(func() { done <- n.configure(set) })
+	n.loop.Post(func() { done <- n.configure(t) })
 	return <-done
 }
 
-func (n *Node) configure(set brain.Settings) error {
+func (n *Node) configure(t Terms) error {
+	set := t.Settings
 	for _, c := range n.cores {
 		if err := c.CanConfigure(c.fit(set)); err != nil {
 			return fmt.Errorf("the settings can't be taken over: %w", err)
@@ -156,6 +173,7 @@
 		if c.told != nil {
 			c.told(fitted)
 		}
+		c.routes(t.Routes)
 	}
 	return nil
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -24,6 +24,7 @@
 		Listen    string `toml:"listen"`    // in place of the platform file's
 		Discovery string `toml:"discovery"` // likewise
 		Faktory   string `toml:"faktory"`   // TOML; the Faktory front is off without
+		Routes    string `toml:"routes"`    // TOML; what the group agrees on comes before it
 	} `toml:"front"`
 
 	Peers struct {
@@ -90,7 +91,7 @@
 		return nil, bad("peers.tick", "%v is not from 10ms to 5s", t)
 	}
 	for _, p := range []*string{
-		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
+		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Front.Routes, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
 		&c.Control.Socket} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -14,6 +14,7 @@
 	"moorstack/brain"
 	"moorstack/internal/core"
 	"moorstack/internal/net"
+	"moorstack/internal/routing"
 )
 
 const (
@@ -35,7 +36,8 @@
 	hops     map[string]*nextHop
 	clients  map[*client]struct{}
 	draining bool
-	closing  bool // idle clients are closed
+	closing  bool           // idle clients are closed
+	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
 	brokeAt  time.Duration // when a kept connection to a next hop last broke under a request
 }
@@ -66,6 +68,9 @@
 	return err
 }
 
+// SetRoutes has jobs go by these rules, from the next one on; nil: by none.
+func (f *Front) SetRoutes(t *routing.Table) { f.routes = t }
+
 // Drain begins the end: what comes is still taken for a while and all that was
 // taken is finished; then done is called.
 func (f *Front) Drain(done func()) {
@@ -109,6 +114,7 @@
 	conn  *net.Conn
 	in    net.Parser
 	id    string // of the transaction it waits for
+	rule  string // by which it was routed, if by any
 	waits bool
 	last  bool // the connection closes after this answer
 	asked bool // a 100 has been sent for the request being read
@@ -210,7 +216,15 @@
 }
 
 func (c *client) begin(m *net.Message, body []byte) {
-	t, err := c.front.transaction(m, body)
+	t, d, err := c.front.transaction(m, body)
+	c.rule = ""
+	if d.Rule != nil {
+		c.rule = d.Rule.Name
+	}
+	if err == nil && d.Refused != "" {
+		c.busy(d.RetryAfter, d.Refused)
+		return
+	}
 	if err == nil {
 		c.id, c.waits = t.ID, true
 		if err = c.front.core.Begin(t, c); err == nil {
@@ -226,33 +240,30 @@
 }
 
 // transaction reads what the headers say of a job.
-func (f *Front) transaction(m *net.Message, body []byte) (t core.Transaction, err error) {
+func (f *Front) transaction(m *net.Message, body []byte) (t core.Transaction, d routing.Decision, err error) {
 	j := &job{target: m.Target, key: m.Get("Idempotency-Key"), body: body}
 	t.ID, t.Job = m.Get("X-Request-ID"), j
 	// Hazard: on what a next hop can't read it closes the connection, which counts as a
 	// reset and against it, and for a job that may be repeated at the next one, too.
 	if !net.Plain(t.ID) || len(t.ID) > 200 {
-		return t, fmt.Errorf("X-Request-ID is missing, too long or no plain text")
+		return t, d, fmt.Errorf("X-Request-ID is missing, too long or no plain text")
 	}
-	if t.Class = indexOf(f.names.classes, m.Get("X-Priority-Class")); t.Class < 0 {
-		return t, fmt.Errorf("X-Priority-Class names no class")
-	}
-	// Hazard: without its key, a repeat of a keyed job is not known for one, and runs again.
-	if f.cfg.Settings.Classes[t.Class].Effect == "dedup" && !net.Plain(j.key) {
-		return t, fmt.Errorf("Idempotency-Key is missing or no plain text")
+	class := m.Get("X-Priority-Class")
+	if t.Class = indexOf(f.names.classes, class); t.Class < 0 && (class != "" || f.routes == nil) {
+		return t, d, fmt.Errorf("X-Priority-Class names no class")
 	}
 	if tenant := m.Get("X-Tenant-Id"); tenant != "" {
 		if t.Tenant = indexOf(f.names.tenants, tenant); t.Tenant < 0 {
-			return t, fmt.Errorf("X-Tenant-Id names no tenant")
+			return t, d, fmt.Errorf("X-Tenant-Id names no tenant")
 		}
 	}
 	if t.Left, err = timeout(m.Get("X-Timeout")); err != nil {
-		return t, err
+		return t, d, err
 	}
 	if cost := m.Get("X-Cost"); cost != "" {
 		us, err := strconv.ParseFloat(cost, 64)
 		if err != nil || !(us >= 0 && us < 1e12) {
-			return t, fmt.Errorf("X-Cost is not a time in microseconds")
+			return t, d, fmt.Errorf("X-Cost is not a time in microseconds")
 		}
 		t.Work = time.Duration(us * float64(time.Microsecond))
 	}
@@ -270,7 +281,30 @@
 			t.Memory = v
 		}
 	}
-	return t, nil
+	d, err = f.decide(m, &t, j)
+	return t, d, err
+}
+
+// decide has the rules say where the job goes, and checks what depends on its class.
+func (f *Front) decide(m *net.Message, t *core.Transaction, j *job) (d routing.Decision, err error) {
+	if f.routes != nil {
+		path, _, _ := strings.Cut(m.Target, "?")
+		about := routing.Job{Front: "http", Class: t.Class, Tenant: t.Tenant, Host: m.Get("Host"), Path: path,
+			Header: m.Get, Key: m.Get("X-Route-Key"), Cost: t.Work, ID: t.ID}
+		if m.Get("X-Tenant-Id") == "" {
+			about.Tenant = -1
+		}
+		d = f.routes.Decide(&about)
+		t.Class, t.Route, t.Attempts, t.Limit = d.Class, d.Route, d.Attempts, d.Timeout
+		if t.Class < 0 && d.Refused == "" {
+			return d, fmt.Errorf("X-Priority-Class is missing, and no rule gives the job a class")
+		}
+	}
+	// Hazard: without its key, a repeat of a keyed job is not known for one, and runs again.
+	if d.Refused == "" && f.cfg.Settings.Classes[t.Class].Effect == "dedup" && !net.Plain(j.key) {
+		return d, fmt.Errorf("Idempotency-Key is missing or no plain text")
+	}
+	return d, nil
 }
 
 // timeout reads a number and its unit.
@@ -301,11 +335,11 @@
 	case core.Served:
 		c.respond(200, "", a.Result)
 	case core.Busy:
-		extra := ""
-		if a.RetryAfter > 0 {
-			extra = fmt.Sprintf("Retry-After: %.3f\r\n", a.RetryAfter.Seconds())
+		why := ""
+		if c.rule != "" {
+			why = "no worker of rule " + c.rule
 		}
-		c.respond(503, extra, nil)
+		c.busy(a.RetryAfter, why)
 	default:
 		c.respond(502, "", nil)
 	}
@@ -318,6 +352,18 @@
 	})
 }
 
+// busy writes a busy answer, with the reason where a rule is it.
+func (c *client) busy(after time.Duration, why string) {
+	extra := ""
+	if after > 0 {
+		extra = fmt.Sprintf("Retry-After: %.3f\r\n", after.Seconds())
+	}
+	if why != "" {
+		extra += "X-Refusal: " + why + "\r\n"
+	}
+	c.respond(503, extra, nil)
+}
+
 // closeIfIdle closes a connection that stands between two requests.
 func (c *client) closeIfIdle() {
 	if !c.waits && c.conn.Unsent() == 0 && len(c.conn.In()) == 0 && !c.conn.Closed() {
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,286 @@
+package routing
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+
+	"moorstack/brain"
+)
+
+// Job is what rules can know of a job.
+type Job struct {
+	Front  string // http or faktory
+	Class  int    // below 0: it names none
+	Tenant int    // below 0: it names none
+	Host   string
+	Path   string
+	Header func(name string) string // nil: it has none
+	Key    string
+	Cost   time.Duration
+	Queue  string
+	Type   string
+	ID     string
+}
+
+// Decision is what the rules say of a job.
+type Decision struct {
+	Rule       *Rule // nil: none matched, and the job goes where brain will
+	Class      int   // the job's, or the rule's for one that names none
+	Refused    string
+	RetryAfter time.Duration
+	Route      brain.Route // nil: any worker
+	Attempts   int         // 0: the class's
+	Timeout    time.Duration
+}
+
+// Rule is a compiled rule.
+type Rule struct {
+	Number int // from 1, in the file's order
+	Name   string
+	Place  Place
+
+	spec     *RuleSpec
+	class    int // below 0: gives none
+	prefer   *Route
+	split    []*Route // by the place in spec.Split
+	weights  int
+	headers  [][2]string
+	costFrom time.Duration
+	below    time.Duration
+}
+
+// Table is all rules, with an index over them.
+type Table struct {
+	rules []*Rule
+	pools map[string]*pool
+	words int
+
+	all     []uint64 // every rule
+	classes dimension[int]
+	tenants dimension[int]
+	fronts  dimension[string]
+	queues  dimension[string]
+	types   dimension[string]
+	hosts   dimension[string] // whole hosts, and ".example.org" for what is below
+	paths   dimension[string]
+	lengths []int // of the path prefixes, each once
+}
+
+// dimension knows, for each value that some rule names, the rules that the value fits. A
+// value that none names fits those that ask for nothing.
+type dimension[K comparable] struct {
+	any   []uint64
+	named map[K][]uint64 // with any's
+	used  bool
+}
+
+// Rules gives the rules in their order.
+func (t *Table) Rules() []*Rule { return t.rules }
+
+// Decide finds the first rule that matches the job and says what it says.
+func (t *Table) Decide(j *Job) Decision {
+	d := Decision{Class: j.Class}
+	r := t.match(j)
+	if r == nil {
+		return d
+	}
+	d.Rule, d.Attempts, d.Timeout = r, r.spec.Attempts, time.Duration(r.spec.Timeout)
+	if d.Class < 0 {
+		d.Class = r.class
+	}
+	if r.spec.Refuse != "" {
+		d.Refused, d.RetryAfter = r.spec.Refuse, time.Duration(r.spec.RetryAfter)
+		return d
+	}
+	if route := r.route(j); route != nil {
+		d.Route = route
+	}
+	return d
+}
+
+// route is the rule's route for the job: a split sends the same key the same way always.
+func (r *Rule) route(j *Job) *Route {
+	if len(r.split) == 0 {
+		return r.prefer
+	}
+	key := j.Key
+	switch r.spec.SplitBy {
+	case "tenant":
+		key = fmt.Sprint(j.Tenant)
+	case "id":
+		key = j.ID
+	}
+	if key == "" {
+		key = j.ID
+	}
+	h := fnv.New64a()
+	h.Write([]byte(r.Name)) // two splits must not send the same keys
+	h.Write([]byte{0})
+	h.Write([]byte(key))
+	at := int(mix(h.Sum64()) % uint64(r.weights))
+	for i, s := range r.spec.Split {
+		if at -= s.Weight; at < 0 {
+			return r.split[i]
+		}
+	}
+	return r.prefer
+}
+
+// mix spreads a hash whose low bits may be poor (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// match finds the first rule that fits. The index leaves those that fit by class, tenant,
+// front, queue, type, host and path; what is left is asked one after the other.
+func (t *Table) match(j *Job) *Rule {
+	host := j.Host
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for w := range t.words {
+		left := t.all[w]
+		if t.classes.used {
+			left &= t.classes.at(j.Class, w)
+		}
+		if t.tenants.used {
+			left &= t.tenants.at(j.Tenant, w)
+		}
+		if t.fronts.used {
+			left &= t.fronts.at(j.Front, w)
+		}
+		if t.queues.used {
+			left &= t.queues.at(j.Queue, w)
+		}
+		if t.types.used {
+			left &= t.types.at(j.Type, w)
+		}
+		if left != 0 && t.hosts.used {
+			left &= t.hostWord(host, w)
+		}
+		if left != 0 && t.paths.used {
+			left &= t.pathWord(j.Path, w)
+		}
+		for ; left != 0; left &= left - 1 {
+			if r := t.rules[w*64+bits.TrailingZeros64(left)]; r.rest(j) {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+func (d *dimension[K]) at(k K, word int) uint64 {
+	if set, ok := d.named[k]; ok {
+		return set[word]
+	}
+	return d.any[word]
+}
+
+// hostWord joins the rules that fit the host itself and each domain above it.
+func (t *Table) hostWord(host string, w int) uint64 {
+	set := t.hosts.at(host, w)
+	for i := 0; i < len(host); i++ {
+		if host[i] == '.' {
+			set |= t.hosts.at(host[i:], w)
+		}
+	}
+	return set
+}
+
+func (t *Table) pathWord(path string, w int) uint64 {
+	set := t.paths.any[w]
+	for _, n := range t.lengths {
+		if n <= len(path) {
+			set |= t.paths.at(path[:n], w)
+		}
+	}
+	return set
+}
+
+// rest asks what the index does not know.
+func (r *Rule) rest(j *Job) bool {
+	for _, h := range r.headers {
+		got := ""
+		if j.Header != nil {
+			got = j.Header(h[0])
+		}
+		if got == "" || h[1] != "*" && got != h[1] {
+			return false
+		}
+	}
+	if j.Cost < r.costFrom || r.below > 0 && j.Cost >= r.below {
+		return false
+	}
+	return strings.HasPrefix(j.Key, r.spec.Match.KeyPrefix)
+}
+
+// pool is a compiled set of workers.
+type pool struct {
+	name         string
+	zones, kinds []bool // by number; nil: any
+	cells        []int
+	labels       []string
+}
+
+func (p *pool) has(w *brain.Worker) bool {
+	if p.zones != nil && (w.Zone < 0 || w.Zone >= len(p.zones) || !p.zones[w.Zone]) {
+		return false
+	}
+	if p.kinds != nil && (w.Kind < 0 || w.Kind >= len(p.kinds) || !p.kinds[w.Kind]) {
+		return false
+	}
+	if p.cells != nil && !slices.Contains(p.cells, w.Cell) {
+		return false
+	}
+	for _, l := range p.labels {
+		if !slices.Contains(w.Labels, l) {
+			return false
+		}
+	}
+	return true
+}
+
+// Route is an order of pools. It is brain's Route: a worker that is in several stands
+// where it is wanted most.
+type Route struct {
+	pools []*pool
+	spill string
+}
+
+var _ brain.Route = (*Route)(nil)
+
+// Tiers implements brain.Route.
+func (r *Route) Tiers() int { return len(r.pools) }
+
+// Tier implements brain.Route.
+func (r *Route) Tier(w *brain.Worker) int {
+	for i, p := range r.pools {
+		if p.has(w) {
+			return i
+		}
+	}
+	return -1
+}
+
+// Spills implements brain.Route.
+func (r *Route) Spills(_ int, busy bool) bool {
+	return r.spill == "busy" || r.spill == "empty" && !busy
+}
+
+// Pools names the pools, the most wanted first.
+func (r *Route) Pools() []string {
+	names := make([]string, len(r.pools))
+	for i, p := range r.pools {
+		names[i] = p.name
+	}
+	return names
+}
