--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,9 +44,10 @@
 
 // try starts an attempt if a worker is eligible and the wait there worth it.
 //
-// Where its route has tiers, the first is tried that has one, and the next ones as the route says.
+// Where its route has tiers, the first is tried that has one, and the next ones as the route says; those
+// that are not trusted come after all tiers.
 func (b *Balancer) try(now time.Duration, q *request) bool {
-	for q.tier = 0; ; {
+	for q.start(); ; {
 		w := b.pick(now, q)
 		if w != nil && b.worthIt(now, q, w) {
 			b.send(now, q, w)
@@ -112,7 +113,7 @@
 		}
 	}
 	b.draw = draw
-	if well > 0 {
+	if well > 0 || !q.anyone {
 		draw = draw[:well]
 	}
 	return draw
@@ -123,7 +124,8 @@
 // Hazard: where many dispatchers share workers, each one's counts are zero and what it knows of a queue is
 // long past. An answer that does not come soon tells of a worker that is gone or busy.
 func (b *Balancer) ask(now time.Duration, q *request) bool {
-	q.asked, q.heard, q.heldT, q.tier = q.asked[:0], 0, now, 0
+	q.asked, q.heard, q.heldT = q.asked[:0], 0, now
+	q.start()
 	b.blind = b.set.ReportProbed && b.set.Limits.Probes &&
 		float64(len(b.workers))*b.watched > b.arrived*b.patience.Seconds()*stale
 	if !b.blind {
--- a/brain/state.go
+++ b/brain/state.go
@@ -73,6 +73,7 @@
 	Request
 	class    *Class // as it was when the request came
 	tier     int    // of its route, that it is tried at
+	anyone   bool   // where no worker is trusted, the others are drawn
 	deadline time.Duration
 	asked    []*worker     // for their loads, those that have answered first
 	heard    int           // how many have
@@ -364,12 +365,26 @@
 // onRoute reports whether w stands where q is tried now.
 func (q *request) onRoute(w *worker) bool { return q.Route == nil || q.Route.Tier(&w.Worker) == q.tier }
 
+// start has q tried at the first tier of its route.
+func (q *request) start() { q.tier, q.anyone = 0, q.Route == nil }
+
 // spills moves q on to the next tier of its route, if there is one and its route says so.
+// After the last one it begins again, this time with workers that are not trusted, too.
+//
+// Hazard: the only worker of the first tier can't be reached, and every job is tried there
+// before it goes to a sound one of the next.
 func (q *request) spills(busy bool) bool {
-	if q.Route == nil || q.tier+1 >= q.Route.Tiers() || !q.Route.Spills(q.tier, busy) {
+	if q.Route == nil {
 		return false
 	}
-	q.tier++
+	if q.tier+1 < q.Route.Tiers() && q.Route.Spills(q.tier, busy) {
+		q.tier++
+		return true
+	}
+	if q.anyone {
+		return false
+	}
+	q.tier, q.anyone = 0, true
 	return true
 }
 
@@ -541,3 +556,43 @@
 	b.arrived *= by
 	b.watched *= by
 }
+
+// Verdict says how a worker stands for a request.
+type Verdict struct {
+	Worker Worker
+	Why    string // why the request may not go there now; empty: it may
+}
+
+// Explain says of each worker, by ID, whether a request that came now would be drawn for
+// it at a tier of its route, and why not. It changes nothing that decisions go by.
+func (b *Balancer) Explain(now time.Duration, r Request, tier int) []Verdict {
+	r.Class = min(max(r.Class, 0), len(b.set.Classes)-1)
+	q := &request{Request: r, class: &b.set.Classes[r.Class], tier: tier, anyone: true,
+		deadline: now + r.Left, came: now}
+	trusted := slices.ContainsFunc(
+		b.workers,
+		func(w *worker) bool { return b.may(now, q, w) && b.trusted(now, q, w) },
+	)
+	list := make([]Verdict, 0, len(b.workers))
+	for _, w := range b.workers {
+		v := Verdict{Worker: w.Worker}
+		switch {
+		case w.State == Draining:
+			v.Why = "it drains"
+		case w.State != Ready:
+			v.Why = "it is gone"
+		case q.class.Kind >= 0 && q.class.Kind != w.Kind:
+			v.Why = "the class wants another kind"
+		case !q.onRoute(w):
+			v.Why = "the rule puts it elsewhere or nowhere"
+		case !b.coldRoom(now, w, b.cost(q)):
+			v.Why = "it is cold and its budget has no room"
+		case !b.may(now, q, w):
+			v.Why = "the time is up"
+		case trusted && !b.trusted(now, q, w):
+			v.Why = "it has failed lately, and others have not"
+		}
+		list = append(list, v)
+	}
+	return list
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -220,6 +220,19 @@
 	return nil
 }
 
+// Explain says of each next hop, by name, whether a transaction that came now would be
+// drawn for it at a tier of its route, and why not.
+func (c *Core) Explain(t Transaction, tier int) map[string]brain.Verdict {
+	out := map[string]brain.Verdict{}
+	for _, v := range c.bal.Explain(c.clock.Now(), brain.Request{Class: t.Class, Tenant: t.Tenant, Left: t.Left,
+		Work: t.Work, Slots: t.Slots, Memory: t.Memory, Route: t.Route, Attempts: t.Attempts}, tier) {
+		if h := c.hops[v.Worker.ID]; h != nil {
+			out[h.name] = v
+		}
+	}
+	return out
+}
+
 // Gone says that a transaction's client has left. It is not answered any more.
 func (c *Core) Gone(id string) {
 	t := c.open[brain.RequestID(id)]
--- a/internal/routing/compile.go
+++ b/internal/routing/compile.go
@@ -19,8 +19,17 @@
 func Compile(f *File, names Names) (*Table, Problems, error) {
 	c := &compiler{f: f, names: names, t: &Table{pools: map[string]*pool{}}}
 	if len(f.Rules) > maxRules || len(f.Pools) > maxPools {
-		c.bad("rule", 0, "", "the file", "there are %d rules and %d pools; %d and %d are allowed", len(f.Rules),
-			len(f.Pools), maxRules, maxPools)
+		c.bad(
+			"rule",
+			0,
+			"",
+			"the file",
+			"there are %d rules and %d pools; %d and %d are allowed",
+			len(f.Rules),
+			len(f.Pools),
+			maxRules,
+			maxPools,
+		)
 		return nil, nil, c.problems
 	}
 	for i := range f.Pools {
@@ -30,7 +39,14 @@
 	for i := range f.Rules {
 		name := f.Rules[i].Name
 		if first, ok := seen[name]; ok && name != "" {
-			c.bad("rule", i, "name", name, "rule %d has this name, too", first+1)
+			c.bad(
+				"rule",
+				i,
+				"name",
+				fmt.Sprintf("rule %d (%s)", i+1, name),
+				"rule %d has this name, too",
+				first+1,
+			)
 		}
 		seen[name] = i
 		c.rule(i)
@@ -104,7 +120,8 @@
 	c.t.rules = append(c.t.rules, r)
 	for _, word := range []struct{ key, text string }{{"name", s.Name}, {"refuse", s.Refuse}} {
 		// They go into headers of answers.
-		if len(word.text) > 200 || strings.ContainsFunc(word.text, func(r rune) bool { return r < ' ' || r > '~' }) {
+		if len(word.text) > 200 ||
+			strings.ContainsFunc(word.text, func(r rune) bool { return r < ' ' || r > '~' }) {
 			c.bad("rule", n, word.key, who, "%.40q is not plain text of up to 200 bytes", word.text)
 		}
 	}
@@ -159,7 +176,13 @@
 func (c *compiler) way(n int, who string, s *RuleSpec, r *Rule) {
 	if s.Refuse != "" {
 		if len(s.Prefer)+len(s.Split) > 0 || s.Attempts > 0 || s.Timeout > 0 {
-			c.bad("rule", n, "refuse", who, "a rule that refuses sends nowhere, and has no attempts or time-out")
+			c.bad(
+				"rule",
+				n,
+				"refuse",
+				who,
+				"a rule that refuses sends nowhere, and has no attempts or time-out",
+			)
 		}
 		if time.Duration(s.RetryAfter) > time.Hour {
 			c.bad("rule", n, "retry_after", who, "%v is over an hour", time.Duration(s.RetryAfter))
@@ -186,7 +209,15 @@
 	}
 	for _, part := range s.Split {
 		if part.Weight < 0 || part.Weight > 1_000_000 {
-			c.bad("rule", n, "split", who, "the weight %d of %s is not from 0 to 1000000", part.Weight, part.Pool)
+			c.bad(
+				"rule",
+				n,
+				"split",
+				who,
+				"the weight %d of %s is not from 0 to 1000000",
+				part.Weight,
+				part.Pool,
+			)
 			continue
 		}
 		r.weights += part.Weight
@@ -251,8 +282,11 @@
 	for j, later := range c.t.rules {
 		for _, earlier := range c.t.rules[:j] {
 			if covers(earlier, later) {
-				warnings = append(warnings, Problem{later.Place, fmt.Sprintf("rule %d (%s)", later.Number, later.Name),
-					fmt.Sprintf("can never match: rule %d (%s) takes all", earlier.Number, earlier.Name)})
+				warnings = append(
+					warnings,
+					Problem{later.Place, fmt.Sprintf("rule %d (%s)", later.Number, later.Name),
+						fmt.Sprintf("can never match: rule %d (%s) takes all", earlier.Number, earlier.Name)},
+				)
 				break
 			}
 		}
@@ -278,7 +312,11 @@
 		}
 	}
 	return within(x.Classes, y.Classes, equal) && within(x.Tenants, y.Tenants, equal) &&
-		within(x.Fronts, y.Fronts, equal) && within(x.Queues, y.Queues, equal) && within(x.Types, y.Types, equal) &&
+		within(
+			x.Fronts,
+			y.Fronts,
+			equal,
+		) && within(x.Queues, y.Queues, equal) && within(x.Types, y.Types, equal) &&
 		within(x.Hosts, y.Hosts, func(out, in string) bool {
 			return out == in || strings.HasPrefix(out, "*") && strings.HasSuffix(in, out[1:])
 		}) &&
--- a/internal/routing/file.go
+++ b/internal/routing/file.go
@@ -90,7 +90,13 @@
 		return nil, err
 	}
 	if f.Version != 1 {
-		return nil, tomlfile.At(path, raw, "version", "%d is not 1, the only version that there is", f.Version)
+		return nil, tomlfile.At(
+			path,
+			raw,
+			"version",
+			"%d is not 1, the only version that there is",
+			f.Version,
+		)
 	}
 	return f, nil
 }
--- /dev/null
+++ b/internal/routing/space.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxSpace bounds how many jobs Space makes.
+const maxSpace = 2_000_000
+
+// Space makes jobs that between them have every value that the files' rules tell apart,
+// in all combinations, from the plainest to the most special, until tell says no. It
+// reports whether it came to the end.
+func Space(names Names, a, b *File, tell func(*Job) bool) bool {
+	hosts, paths, queues, types := values{""}, values{""}, values{""}, values{""}
+	fronts, keys := values{"http", "faktory"}, values{""}
+	headers := map[string]values{}
+	costs := []time.Duration{0}
+	for _, f := range []*File{a, b} {
+		for _, r := range f.Rules {
+			m := &r.Match
+			for _, h := range m.Hosts {
+				if strings.HasPrefix(h, "*") {
+					hosts.add("any" + h[1:])
+				} else {
+					hosts.add(h)
+				}
+			}
+			for _, p := range m.Paths {
+				paths.add(p)
+			}
+			for _, q := range m.Queues {
+				queues.add(q)
+			}
+			for _, t := range m.Types {
+				types.add(t)
+			}
+			for name, v := range m.Headers {
+				list := headers[name]
+				list.add("")
+				list.add(strings.ReplaceAll(v, "*", "any"))
+				headers[name] = list
+			}
+			if m.KeyPrefix != "" {
+				keys.add(m.KeyPrefix)
+			}
+			for _, c := range []time.Duration{time.Duration(m.CostFrom), time.Duration(m.CostBelow)} {
+				if c > 0 && !slices.Contains(costs, c) {
+					costs = append(costs, c)
+				}
+			}
+			if len(r.Split) > 0 {
+				for i := range 16 {
+					keys.add(fmt.Sprint(m.KeyPrefix, "key", i))
+				}
+			}
+		}
+	}
+	heads := slices.Sorted(maps.Keys(headers))
+	sizes := []int{
+		len(fronts),
+		len(names.Classes) + 1,
+		len(names.Tenants) + 1,
+		len(hosts),
+		len(paths),
+		len(queues),
+		len(types),
+		len(keys),
+		len(costs),
+	}
+	for _, h := range heads {
+		sizes = append(sizes, len(headers[h]))
+	}
+	at := make([]int, len(sizes))
+	for made := 0; made < maxSpace; made++ {
+		j := &Job{
+			Front:  fronts[at[0]],
+			Class:  at[1] - 1,
+			Tenant: at[2] - 1,
+			Host:   hosts[at[3]],
+			Path:   paths[at[4]],
+			Queue:  queues[at[5]],
+			Type:   types[at[6]],
+			Key:    keys[at[7]],
+			Cost:   costs[at[8]],
+			ID:     "job",
+		}
+		set := map[string]string{}
+		for i, h := range heads {
+			set[h] = headers[h][at[9+i]]
+		}
+		j.Header = func(name string) string { return set[name] }
+		j.headers = set
+		if !tell(j) {
+			return false
+		}
+		i := 0
+		for ; i < len(at); i++ {
+			if at[i]++; at[i] < sizes[i] {
+				break
+			}
+			at[i] = 0
+		}
+		if i == len(at) {
+			return true
+		}
+	}
+	return false
+}
+
+type values []string
+
+func (v *values) add(s string) {
+	if !slices.Contains(*v, s) {
+		*v = append(*v, s)
+	}
+}
+
+// Describe says in words what a job is like, leaving out what it does not name.
+func Describe(names Names, j *Job) string {
+	parts := []string{j.Front}
+	add := func(what, value string) {
+		if value != "" {
+			parts = append(parts, what+" "+value)
+		}
+	}
+	if j.Class >= 0 && j.Class < len(names.Classes) {
+		add("class", names.Classes[j.Class])
+	} else {
+		parts = append(parts, "no class")
+	}
+	if j.Tenant >= 0 && j.Tenant < len(names.Tenants) {
+		add("tenant", names.Tenants[j.Tenant])
+	}
+	add("host", j.Host)
+	add("path", j.Path)
+	add("queue", j.Queue)
+	add("type", j.Type)
+	add("key", j.Key)
+	if j.Cost > 0 {
+		add("cost", j.Cost.String())
+	}
+	for _, name := range slices.Sorted(maps.Keys(j.headers)) {
+		add("header "+name+":", j.headers[name])
+	}
+	return strings.Join(parts, ", ")
+}
+
+// String says the pools in their order, and when a job goes on to the next.
+func (r *Route) String() string {
+	if len(r.pools) == 1 {
+		return r.pools[0].name
+	}
+	return fmt.Sprintf("%s (on when %s)", strings.Join(r.Pools(), ", then "), r.spill)
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,6 +24,8 @@
 	Queue  string
 	Type   string
 	ID     string
+
+	headers map[string]string // what Header gives, for Describe
 }
 
 // Decision is what the rules say of a job.
@@ -284,3 +286,21 @@
 	}
 	return names
 }
+
+// HasPool says whether there is a pool of that name.
+func (t *Table) HasPool(name string) bool { return t.pools[name] != nil }
+
+// InPool says whether a worker is in a pool.
+func (t *Table) InPool(name string, w *brain.Worker) bool {
+	return t.pools[name] != nil && t.pools[name].has(w)
+}
+
+// Named finds a rule.
+func (t *Table) Named(name string) *Rule {
+	for _, r := range t.rules {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -90,3 +90,15 @@
 	}
 	return 0
 }
+
+// Nth finds the line of the nth table, from 0, of an array of tables.
+func Nth(b []byte, array string, n int) int {
+	for i, line := range strings.Split(string(b), "\n") {
+		if strings.TrimSpace(line) == "[["+array+"]]" {
+			if n--; n < 0 {
+				return i + 1
+			}
+		}
+	}
+	return 0
+}
