Explain routes at a running instance, and refuse changes that break an expectation

Expectations beside the files say nothing of a change that is on its way to a group, nor of what an instance runs now.

--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -18,6 +18,8 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/control"
+	"moorstack/internal/expect"
+	"moorstack/internal/node"
 	"moorstack/internal/schema"
 	"moorstack/internal/tomlfile"
 )
@@ -50,7 +52,7 @@
 	}
 	r.addFlags(cmd)
 	for _, c := range []*cobra.Command{newConfigGet(g, &r), newConfigDiff(g, &r), newConfigPropose(g, &r),
-		newConfigHistory(g, &r), newConfigRollback(g, &r), newConfigWatch(g, &r)} {
+		newConfigHistory(g, &r), newConfigRollback(g, &r), newConfigWatch(g, &r), newConfigSet(g, &r)} {
 		addOutput(c, g)
 		cmd.AddCommand(c)
 	}
@@ -232,12 +234,15 @@
 	id, note string
 	base     uint64
 	dryRun   bool
+	expect   []string
 }
 
 func (f *proposeFlags) add(cmd *cobra.Command) {
 	cmd.Flags().
 		StringVar(&f.id, "id", "", "the change's id; the same again, say after exit code 6, has the same one")
 	cmd.Flags().StringVar(&f.note, "note", "", "why, for the history")
+	cmd.Flags().StringSliceVar(&f.expect, "expect", nil,
+		"refuse the change if an expectation in these `files` fails under it")
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "say what would come of it, and change nothing")
 }
 
@@ -297,6 +302,9 @@
 	doc *agreement.Document,
 	located func(string) string,
 ) error {
+	if err := expected(cmd, f.expect, doc); err != nil {
+		return err
+	}
 	id := f.id
 	if id == "" {
 		var err error
@@ -382,6 +390,89 @@
 	return err
 }
 
+// expected checks expectations under a document that has not been proposed yet.
+func expected(cmd *cobra.Command, files []string, doc *agreement.Document) error {
+	failed := 0
+	for _, path := range files {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		s, err := expect.Read(path, raw, func(rules string) ([]byte, error) {
+			if section, ok := doc.Sections[node.RoutesSection]; ok {
+				return []byte(section["toml"]), nil
+			}
+			return os.ReadFile(rules)
+		})
+		if err == nil {
+			err = s.Under(doc)
+		}
+		if err != nil {
+			return exitError{exitInvalid, err}
+		}
+		for _, r := range s.Run(nil) {
+			if !r.OK() {
+				failed++
+				printFailure(cmd, r)
+			}
+		}
+	}
+	if failed > 0 {
+		return exitError{
+			exitInvalid,
+			fmt.Errorf("%d expectations fail under this change; it was not proposed", failed),
+		}
+	}
+	return nil
+}
+
+func newConfigSet(g *global, r *remote) *cobra.Command {
+	var f proposeFlags
+	cmd := &cobra.Command{
+		Use:   "set SECTION KEY FILE",
+		Short: "Put a file's text under a key of a section, in force at all instances or none",
+		Long: `set changes one key of the newest configuration. The rules by which jobs are routed are
+the key toml of the section routes: they come before the files of the instances' own.`,
+		Example: "  moorstack config set routes toml routes.toml --expect sunday.toml --config n1.toml",
+		Args:    cobra.ExactArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[2])
+			if err != nil {
+				return err
+			}
+			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
+				if err != nil {
+					return err
+				}
+				doc, err := fileOf(newest)
+				if err != nil {
+					return err
+				}
+				if doc.Sections == nil {
+					doc.Sections = map[string]map[string]string{}
+				}
+				if doc.Sections[args[0]] == nil {
+					doc.Sections[args[0]] = map[string]string{}
+				}
+				doc.Sections[args[0]][args[1]] = string(text)
+				return propose(
+					ctx,
+					cmd,
+					g,
+					c,
+					&f,
+					newest.Revision,
+					&doc.Document,
+					func(p string) string { return p },
+				)
+			})
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
 func newConfigHistory(g *global, r *remote) *cobra.Command {
 	var most uint32
 	cmd := &cobra.Command{
--- a/cmd/moorstack/expect.go
+++ b/cmd/moorstack/expect.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"context"
 	"encoding/xml"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +17,7 @@
 	"moorstack/internal/expect"
 	"moorstack/internal/platform"
 	"moorstack/internal/routing"
+	"moorstack/internal/schema"
 )
 
 type expectFlags struct {
@@ -323,6 +327,57 @@
 	}
 	check.Flags().
 		StringVar(&platformFile, "platform", "", "the deployment's `file`: its names are checked, too")
-	cmd.AddCommand(check)
+	cmd.AddCommand(check, newRouteExplain(g))
+	return cmd
+}
+
+func newRouteExplain(g *global) *cobra.Command {
+	var r remote
+	in := &schema.ExplainRouteRequest{}
+	var cost time.Duration
+	cmd := &cobra.Command{
+		Use:   "explain",
+		Short: "Ask a running instance where a job would go now, and why",
+		Long: `explain asks an instance that runs under serve: which rule decides, and how each worker
+stands. It sends no job and changes nothing; readers may call it.`,
+		Example: `  moorstack route explain --config n1.toml --class dialysis-book --host seeb.example.org`,
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			in.CostUs = cost.Microseconds()
+			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+				out, err := c.ExplainRoute(ctx, in)
+				if err != nil {
+					return err
+				}
+				t := table{}
+				t.add("rule", dash(out.Rule))
+				if out.Refused != "" {
+					t.add("refused", out.Refused)
+				} else {
+					t.add("class", dash(out.Class))
+				}
+				for n, tier := range out.Tiers {
+					t.add(fmt.Sprintf("choice %d", n+1), tier.Pool+": "+dash(strings.Join(tier.Left, ", ")))
+					for _, name := range slices.Sorted(maps.Keys(tier.Out)) {
+						t.add("", "out: "+name+", "+tier.Out[name])
+					}
+				}
+				return g.print(cmd.OutOrStdout(), out, t)
+			})
+		},
+	}
+	r.addFlags(cmd)
+	f := cmd.Flags()
+	f.StringVar(&in.Front, "front", "http", "http or faktory")
+	f.StringVar(&in.Class, "class", "", "the job's class")
+	f.StringVar(&in.Tenant, "tenant", "", "its team")
+	f.StringVar(&in.Host, "host", "", "the host that it was sent to")
+	f.StringVar(&in.Path, "path", "", "its path")
+	f.StringToStringVar(&in.Header, "header", nil, "headers, as name=value")
+	f.StringVar(&in.Key, "route-key", "", "its route key")
+	f.DurationVar(&cost, "cost", 0, "its cost hint")
+	f.StringVar(&in.Queue, "queue", "", "its Faktory queue")
+	f.StringVar(&in.Jobtype, "jobtype", "", "its Faktory type")
+	addOutput(cmd, g)
 	return cmd
 }
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -55,8 +55,17 @@
 	root.PersistentFlags().
 		StringVar(&g.logLevel, "log-level", "info", "least level logged: debug, info, warn or error")
 	root.PersistentFlags().StringVar(&g.logFormat, "log-format", "text", "form of the log: text or json")
-	root.AddCommand(newVersion(), newServe(&g), newConfig(&g), newCluster(&g), newKeys(&g), newStore(&g), newExpect(&g), newRoute(&g),
-		newProve(&g))
+	root.AddCommand(
+		newVersion(),
+		newServe(&g),
+		newConfig(&g),
+		newCluster(&g),
+		newKeys(&g),
+		newStore(&g),
+		newExpect(&g),
+		newRoute(&g),
+		newProve(&g),
+	)
 	return root
 }
 
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -140,12 +140,13 @@
 		"not plain text":          func(d *Document) { d.Sections["a b"] = nil },
 		"levels says no":          func(d *Document) { d.Sections["levels"]["a"] = "no" },
 	} {
-		rules := Rules{Sections: map[string]SectionRule{"levels": func(_ *Document, v map[string]string) []string {
+		rules := Rules{Sections: map[string]SectionRule{}}
+		rules.Sections["levels"] = func(_ *Document, v map[string]string) []string {
 			if v["a"] == "no" {
 				return []string{"levels says no"}
 			}
 			return nil
-		}}}
+		}
 		s, err := New(rules, "g", sample(5), 0, Member{1, "n1", ""})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -36,6 +36,7 @@
 	Program() string
 	Counters() map[string]uint64
 	Tick() time.Duration
+	ExplainRoute(*schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error)
 }
 
 // MaxMessage bounds what is sent and taken: a backup is the largest.
@@ -50,6 +51,8 @@
 	schema.Control_History_FullMethodName:   true,
 	schema.Control_Watch_FullMethodName:     true,
 	schema.Control_Status_FullMethodName:    true,
+
+	schema.Control_ExplainRoute_FullMethodName: true,
 }
 
 // Server is the service.
@@ -443,6 +446,16 @@
 	return s.host.Operate(ctx, op)
 }
 
+// ExplainRoute implements schema.ControlServer.
+func (s *Server) ExplainRoute(_ context.Context,
+	in *schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error) {
+	out, err := s.host.ExplainRoute(in)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return out, nil
+}
+
 // Snapshot implements schema.ControlServer.
 func (s *Server) Snapshot(ctx context.Context, _ *schema.SnapshotRequest) (*schema.Operated, error) {
 	if err := s.host.Runner().Compact(ctx); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -224,8 +224,9 @@
 // drawn for it at a tier of its route, and why not.
 func (c *Core) Explain(t Transaction, tier int) map[string]brain.Verdict {
 	out := map[string]brain.Verdict{}
-	for _, v := range c.bal.Explain(c.clock.Now(), brain.Request{Class: t.Class, Tenant: t.Tenant, Left: t.Left,
-		Work: t.Work, Slots: t.Slots, Memory: t.Memory, Route: t.Route, Attempts: t.Attempts}, tier) {
+	for _, v := range c.bal.Explain(c.clock.Now(), brain.Request{Class: t.Class, Tenant: t.Tenant,
+		Left: t.Left, Work: t.Work, Slots: t.Slots, Memory: t.Memory, Route: t.Route,
+		Attempts: t.Attempts}, tier) {
 		if h := c.hops[v.Worker.ID]; h != nil {
 			out[h.name] = v
 		}
--- a/internal/expect/expect_test.go
+++ b/internal/expect/expect_test.go
@@ -93,7 +93,8 @@
 			failed++
 		}
 		trace := strings.Join(r.Trace, "\n")
-		if !strings.Contains(r.Rule, "rule 2 (dialysis-seeb)") || !strings.Contains(r.Rule, "routes.toml:36") ||
+		if !strings.Contains(r.Rule, "rule 2 (dialysis-seeb)") ||
+			!strings.Contains(r.Rule, "routes.toml:36") ||
 			!strings.Contains(trace, "choice 1, ruwi: left r1") ||
 			r.Line == 0 {
 			t.Errorf("%+v", r)
@@ -124,7 +125,8 @@
 			t.Errorf("want %q, got %v", want, err)
 		}
 	}
-	if _, err := Read(shown, []byte(text), func(string) ([]byte, error) { return nil, errors.New("no rules") }); err == nil {
+	none := func(string) ([]byte, error) { return nil, errors.New("no rules") }
+	if _, err := Read(shown, []byte(text), none); err == nil {
 		t.Error("read without its rules")
 	}
 }
@@ -152,6 +154,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	kinds := []string{"s1", "s2", "r1", "r2", "r6", "s-drains", "s-cold", "s-mute"}
+	replies := []string{"ok", "error", "full"}
+	jobs := []string{"dialysis-muscat", "book-muscat", "quote-muscat"}
 	names := []string{"everyone", "seeb", "ruwi", "quick", "slow", "canary"}
 	rapid.Check(t, func(t *rapid.T) {
 		f := *s.rules
@@ -171,7 +176,7 @@
 		var workers []*Worker
 		drained := map[string]bool{}
 		for i := range rapid.IntRange(1, 10).Draw(t, "workers") {
-			w := *s.workers[rapid.SampledFrom([]string{"s1", "s2", "r1", "r2", "r6", "s-drains", "s-cold", "s-mute"}).Draw(t, "worker")]
+			w := *s.workers[rapid.SampledFrom(kinds).Draw(t, "worker")]
 			w.Name = fmt.Sprint("w", i)
 			copied := w
 			workers = append(workers, &copied)
@@ -183,12 +188,12 @@
 					Event{At: duration(time.Second), Worker: w.Name, Lifecycle: "DRAINING"},
 				)
 			}
-			if answers := rapid.SampledFrom([]string{"ok", "error", "full"}).Draw(t, "answers"); answers != "ok" {
+			if answers := rapid.SampledFrom(replies).Draw(t, "answers"); answers != "ok" {
 				e.Events = append(e.Events, Event{Worker: w.Name, Answers: answers})
 			}
 		}
 		changed.rosters = map[string][]*Worker{"any": workers}
-		j := s.jobs[rapid.SampledFrom([]string{"dialysis-muscat", "book-muscat", "quote-muscat"}).Draw(t, "job")]
+		j := s.jobs[rapid.SampledFrom(jobs).Draw(t, "job")]
 		d := changed.decide(j)
 		w, err := changed.newWorld(&e, rapid.Uint64().Draw(t, "seed"))
 		if err != nil {
--- a/internal/expect/run.go
+++ b/internal/expect/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"moorstack/brain"
+	"moorstack/internal/agreement"
 	"moorstack/internal/core"
 	"moorstack/internal/routing"
 	"moorstack/internal/tomlfile"
@@ -247,7 +248,8 @@
 
 func (w Where) String() string {
 	var parts []string
-	for _, p := range [][2]string{{"zone", w.Zone}, {"kind", w.Kind}, {"pool", w.Pool}, {"worker", w.Worker}} {
+	for _, p := range [][2]string{
+		{"zone", w.Zone}, {"kind", w.Kind}, {"pool", w.Pool}, {"worker", w.Worker}} {
 		if p[1] != "" {
 			parts = append(parts, p[0]+" "+p[1])
 		}
@@ -312,7 +314,8 @@
 		if e.Refused.Reason != "" {
 			fail("refused: expected a rule's reason %q, got no refusal by a rule", e.Refused.Reason)
 		} else if t.refused < t.n {
-			fail("refused: expected always, got %d of %d draws; %d served, %d failed", t.refused, t.n, t.served, t.failed)
+			fail("refused: expected always, got %d of %d draws; %d served, %d failed", t.refused, t.n,
+				t.served, t.failed)
 		} else if least := time.Duration(e.Refused.AfterLeast); t.earliest < least {
 			fail("refused: expected to return after %v at least, got %v", least, t.earliest)
 		}
@@ -418,3 +421,13 @@
 	}
 	return s.trace(&Expect{Job: job, Roster: roster}, j, s.decide(j)), nil
 }
+
+// Under puts an agreed document's classes and tenants over the deployment's.
+func (s *Suite) Under(doc *agreement.Document) error {
+	set, err := doc.Onto(s.set)
+	if err != nil {
+		return fmt.Errorf("%s: %w", s.Path, err)
+	}
+	s.set = set
+	return nil
+}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -18,6 +18,7 @@
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
 	"moorstack/internal/control"
+	"moorstack/internal/core"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
 	"moorstack/internal/routing"
@@ -278,8 +279,8 @@
 	if err != nil {
 		return err
 	}
-	for _, c := range i.node.cores {
-		c.routes(t)
+	for k := range i.node.cores {
+		i.node.cores[k].route(t)
 	}
 	i.log.Info("the rules were read")
 	return nil
@@ -295,6 +296,82 @@
 // Runner implements control.Host.
 func (i *Instance) Runner() *consensus.Runner { return i.runner }
 
+// ExplainRoute implements control.Host: it asks the running core, on its loop.
+func (i *Instance) ExplainRoute(in *schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error) {
+	type result struct {
+		out *schema.ExplainRouteReply
+		err error
+	}
+	done := make(chan result, 1)
+	i.node.loop.Post(func() {
+		out, err := i.explain(in)
+		done <- result{out, err}
+	})
+	r := <-done
+	return r.out, r.err
+}
+
+func (i *Instance) explain(in *schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error) {
+	front := in.Front
+	if front == "" {
+		front = "http"
+	}
+	at := slices.IndexFunc(i.node.cores, func(h hosted) bool { return h.front == front })
+	if at < 0 {
+		return nil, fmt.Errorf("this instance has no front %q", front)
+	}
+	h := &i.node.cores[at]
+	j := &routing.Job{
+		Front:  front,
+		Class:  slices.Index(i.names.Classes, in.Class),
+		Host:   in.Host,
+		Path:   in.Path,
+		Tenant: slices.Index(i.names.Tenants, in.Tenant),
+		Key:    in.Key,
+		Queue:  in.Queue,
+		Type:   in.Jobtype,
+		Header: func(name string) string { return in.Header[name] },
+		Cost:   time.Duration(in.CostUs) * time.Microsecond,
+	}
+	if in.Class != "" && j.Class < 0 {
+		return nil, fmt.Errorf("there is no class %q", in.Class)
+	}
+	if in.Tenant != "" && j.Tenant < 0 {
+		return nil, fmt.Errorf("there is no tenant %q", in.Tenant)
+	}
+	d := routing.Decision{Class: j.Class}
+	if h.table != nil {
+		d = h.table.Decide(j)
+	}
+	out := &schema.ExplainRouteReply{Refused: d.Refused}
+	if d.Rule != nil {
+		out.Rule = fmt.Sprintf("rule %d (%s), %v", d.Rule.Number, d.Rule.Name, d.Rule.Place)
+	}
+	if d.Class < 0 || d.Refused != "" {
+		return out, nil
+	}
+	out.Class = i.names.Classes[d.Class]
+	pools := []string{"any worker"}
+	if r, ok := d.Route.(*routing.Route); ok && r != nil {
+		pools = r.Pools()
+	}
+	t := core.Transaction{Class: d.Class, Tenant: max(j.Tenant, 0), Work: j.Cost, Route: d.Route,
+		Attempts: d.Attempts, Left: i.own.Classes[d.Class].Deadline}
+	for n, pool := range pools {
+		tier := &schema.Tier{Pool: pool, Out: map[string]string{}}
+		for name, v := range h.Explain(t, n) {
+			if v.Why == "" {
+				tier.Left = append(tier.Left, name)
+			} else {
+				tier.Out[name] = v.Why
+			}
+		}
+		slices.Sort(tier.Left)
+		out.Tiers = append(out.Tiers, tier)
+	}
+	return out, nil
+}
+
 // Operate implements control.Host.
 func (i *Instance) Operate(ctx context.Context, op *schema.Operation) (*schema.Operated, error) {
 	return i.network.Operate(ctx, op)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,12 +44,20 @@
 // hosted is a core and how the node's settings are fitted to its front.
 type hosted struct {
 	*core.Core
-	fit func(brain.Settings) brain.Settings
+	front string
+	table *routing.Table // by which its front routes; nil: by none
+	fit   func(brain.Settings) brain.Settings
 	// told, where it is set, is the front's word of settings that its core has taken over.
 	told   func(brain.Settings)
 	routes func(*routing.Table)
 }
 
+// route has the front go by a table.
+func (h *hosted) route(t *routing.Table) {
+	h.table = t
+	h.routes(t)
+}
+
 // clock is the loop's clock as the core takes it.
 type clock struct{ *net.Loop }
 
@@ -82,8 +90,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n.cores = append(n.cores, hosted{Core: c, fit: func(s brain.Settings) brain.Settings { return s },
-		routes: n.front.SetRoutes})
+	n.cores = append(
+		n.cores,
+		hosted{Core: c, front: "http", fit: func(s brain.Settings) brain.Settings { return s },
+			routes: n.front.SetRoutes},
+	)
 	if err := n.front.Open(c); err != nil {
 		return nil, err
 	}
@@ -115,7 +126,8 @@
 	if err := front.Open(c); err != nil {
 		return nil, err
 	}
-	n.cores = append(n.cores, hosted{c, faktory.Settings, front.Configure, front.SetRoutes})
+	n.cores = append(n.cores, hosted{Core: c, front: "faktory", fit: faktory.Settings,
+		told: front.Configure, routes: front.SetRoutes})
 	log.WithField("listen", cfg.Listen).Info("serving")
 	return front, nil
 }
@@ -167,13 +179,14 @@
 			return fmt.Errorf("the settings can't be taken over: %w", err)
 		}
 	}
-	for _, c := range n.cores {
+	for i := range n.cores {
+		c := &n.cores[i]
 		fitted := c.fit(set)
 		c.Configure(fitted)
 		if c.told != nil {
 			c.told(fitted)
 		}
-		c.routes(t.Routes)
+		c.route(t.Routes)
 	}
 	return nil
 }
--- a/internal/routing/file.go
+++ b/internal/routing/file.go
@@ -41,7 +41,7 @@
 
 	Class      string      `toml:"class"`       // given to a job that names none
 	Prefer     []string    `toml:"prefer"`      // pools, the most wanted first
-	Spill      string      `toml:"spill"`       // when to go on to the next: never, empty or busy; empty, if not given
+	Spill      string      `toml:"spill"`       // when to go on: never, empty (if not given) or busy
 	Split      []SplitSpec `toml:"split"`       // one of these pools comes before those of prefer
 	SplitBy    string      `toml:"split_by"`    // key, tenant or id; key, if not given
 	Attempts   int         `toml:"attempts"`    // within the class's
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -212,7 +212,8 @@
 		t.Fatal(err)
 	}
 	r := table.Decide(&Job{}).Route
-	for want, w := range map[int]brain.Worker{0: {Zone: 1, Kind: 0, Labels: []string{"x", "new"}}, 1: {Zone: 1, Kind: 1},
+	for want, w := range map[int]brain.Worker{
+		0: {Zone: 1, Kind: 0, Labels: []string{"x", "new"}}, 1: {Zone: 1, Kind: 1},
 		-1: {Zone: 0, Kind: 0, Labels: []string{"new"}}} {
 		if got := r.Tier(&w); got != want {
 			t.Errorf("%+v stands at %d, want %d", w, got, want)
