--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -131,19 +131,31 @@
 }
 
 func TestWhatIsWrongIsSaidWithItsLine(t *testing.T) {
-	for want, text := range map[string]string{
-		`r.toml:4: pool "p": there is no zone "mars", so no worker can ever be in it`: "[[pool]]\nname = \"p\"\nzone = [\"mars\"]",
-		`r.toml:4: rule 1 (a): the weights add up to zero`:                            "[[rule]]\nname = \"a\"\nsplit = [{ pool = \"p\", weight = 0 }]\n[[pool]]\nname = \"p\"",
-		`r.toml:4: rule 1 (a): there is no pool "q"`:                                  "[[rule]]\nname = \"a\"\nprefer = [\"q\"]",
-		`r.toml:4: rule 1 (a): there is no class "x"`:                                 "[[rule]]\nname = \"a\"\nmatch = { class = [\"x\"] }",
-		`r.toml:5: rule 2 (a): rule 1 has this name, too`:                             "[[rule]]\nname = \"a\"\n[[rule]]\nname = \"a\"",
-		`r.toml:4: rule 1 (a): "often" is not never, empty or busy`:                   "[[rule]]\nname = \"a\"\nspill = \"often\"",
-		`a rule that refuses sends nowhere`:                                           "[[rule]]\nname = \"a\"\nrefuse = \"no\"\nattempts = 2",
-		`is not plain text`:                                                           "[[rule]]\nname = \"a\"\nrefuse = \"no\\r\\nX: y\"",
-		`r.toml:3: rule.nme: this key is not known here`:                              "[[rule]]\nnme = \"a\"",
-		`no cost is from 2s and below 1s`:                                             "[[rule]]\nname = \"a\"\nmatch = { cost_from = \"2s\", cost_below = \"1s\" }",
-		`neither a host nor`:                                                          "[[rule]]\nname = \"a\"\nmatch = { host = [\"a*.org\"] }",
+	for _, c := range [][2]string{
+		{`r.toml:4: pool "p": there is no zone "mars", so no worker can ever be in it`,
+			"[[pool]]\nname = \"p\"\nzone = [\"mars\"]"},
+		{`r.toml:4: rule 1 (a): the weights add up to zero`,
+			"[[rule]]\nname = \"a\"\nsplit = [{ pool = \"p\", weight = 0 }]\n[[pool]]\nname = \"p\""},
+		{`r.toml:4: rule 1 (a): there is no pool "q"`,
+			"[[rule]]\nname = \"a\"\nprefer = [\"q\"]"},
+		{`r.toml:4: rule 1 (a): there is no class "x"`,
+			"[[rule]]\nname = \"a\"\nmatch = { class = [\"x\"] }"},
+		{`r.toml:5: rule 2 (a): rule 1 has this name, too`,
+			"[[rule]]\nname = \"a\"\n[[rule]]\nname = \"a\""},
+		{`r.toml:4: rule 1 (a): "often" is not never, empty or busy`,
+			"[[rule]]\nname = \"a\"\nspill = \"often\""},
+		{`a rule that refuses sends nowhere`,
+			"[[rule]]\nname = \"a\"\nrefuse = \"no\"\nattempts = 2"},
+		{`is not plain text`,
+			"[[rule]]\nname = \"a\"\nrefuse = \"no\\r\\nX: y\""},
+		{`r.toml:3: rule.nme: this key is not known here`,
+			"[[rule]]\nnme = \"a\""},
+		{`no cost is from 2s and below 1s`,
+			"[[rule]]\nname = \"a\"\nmatch = { cost_from = \"2s\", cost_below = \"1s\" }"},
+		{`neither a host nor`,
+			"[[rule]]\nname = \"a\"\nmatch = { host = [\"a*.org\"] }"},
 	} {
+		want, text := c[0], c[1]
 		if _, _, err := compile(t, text); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("want %q, got %v", want, err)
 		}
