Begin the emulator: a seeded world in virtual time round the real core and brain

Each breach of a rule is committed in a test and seen. The first runs had clients repeat what may not be repeated after a node's death; the watch named it.

--- a/brain/bench_test.go
+++ b/brain/bench_test.go
@@ -27,8 +27,9 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			host := &idle{}
 			bal, err := New(Settings{Kinds: 1, Zones: 1, Fleet: 1, Limits: Limits{Attempts: 5},
-				Classes: []Class{{Name: "c", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1}},
-				Goal:    Goal{Whole: 1}}, 1, host)
+				Classes: []Class{{Name: "c", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1,
+					Kind: -1}},
+				Goal: Goal{Whole: 1}}, 1, host)
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -42,8 +43,8 @@
 			for b.Loop() {
 				now += 100 * time.Microsecond
 				bal.Request(now, Request{ID: "r", Left: 5 * time.Second})
-				bal.Outcome(now, Outcome{ID: "r", Worker: host.to, Result: OK, Took: time.Millisecond, Settled: true,
-					Report: NoReport})
+				bal.Outcome(now, Outcome{ID: "r", Worker: host.to, Result: OK, Took: time.Millisecond,
+					Settled: true, Report: NoReport})
 			}
 		})
 	}
--- /dev/null
+++ b/cmd/moorstack/emulate.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"moorstack/internal/emulate"
+)
+
+func newEmulate(g *global) *cobra.Command {
+	cmd := &cobra.Command{Use: "emulate", Short: "Play a model world round real nodes, in virtual time"}
+	var seed uint64
+	var seconds bool
+	run := &cobra.Command{
+		Use:   "run FILE",
+		Short: "Play a scenario and print what became of its jobs",
+		Long: `run plays the scenario in FILE: workers, a list service, clients and troubles of a model
+round nodes that are the real core and decisions. A seed gives the same run each time.
+
+Every run is held to the rules: one final answer in time, repeats only as the class
+allows, nothing new to a drained worker after 1 s, no cold worker pushed over. It exits
+with 1 if one is broken, with 2 if the file is wrong. docs/emulator.md says what is
+modelled and what is not.`,
+		Example: `  moorstack emulate run experiments/small.toml
+  moorstack emulate run experiments/small.toml --seed 7 --seconds`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			sc, err := emulate.Read(args[0], raw)
+			if err != nil {
+				return err
+			}
+			if cmd.Flags().Changed("seed") {
+				sc.Seed = seed
+			}
+			w, err := emulate.New(sc)
+			if err != nil {
+				return err
+			}
+			began := time.Now()
+			r := w.Run()
+			if !seconds {
+				r.Seconds = nil
+			}
+			if err := g.print(cmd.OutOrStdout(), r, runTable(r, time.Since(began))); err != nil {
+				return err
+			}
+			if len(r.Violations) > 0 {
+				return exitError{exitFailed, fmt.Errorf("%d rules are broken", len(r.Violations))}
+			}
+			return nil
+		},
+	}
+	run.Flags().Uint64Var(&seed, "seed", 0, "in place of the file's")
+	run.Flags().BoolVar(&seconds, "seconds", false, "also a row for each second")
+	addOutput(run, g)
+	cmd.AddCommand(run)
+	return cmd
+}
+
+func runTable(r *emulate.Result, took time.Duration) table {
+	t := table{head: []string{"", "CAME", "SERVED", "IN TIME", "REFUSED", "FAILED", "P50", "P99", "EARNED"}}
+	percent := func(a, b float64) string {
+		if b == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.1f%%", 100*a/b)
+	}
+	for _, list := range [][]emulate.Tally{r.Classes, r.Teams} {
+		for _, c := range list {
+			t.add(c.Name, c.Came, c.Served, percent(float64(c.InTime), float64(c.Came)), c.Refused, c.Failed,
+				fmt.Sprintf("%.0f ms", c.P50), fmt.Sprintf("%.0f ms", c.P99), percent(c.Earned, c.Worth))
+		}
+	}
+	t.add("")
+	t.add(fmt.Sprintf("%d jobs, %d attempts, %d busy answers, %d retries, %d probes, %d list lines", r.Jobs,
+		r.Attempts, r.Refusals, r.Retries, r.Probes, r.Lines))
+	t.add(fmt.Sprintf("%.1f%% of the worth asked for was earned", 100*r.Worth))
+	if len(r.Seconds) > 0 {
+		t.add("")
+		t.add("SECOND", "CAME", "SERVED", "IN TIME", "REFUSED", "FAILED", "WAITING", "BUSY")
+		for _, s := range r.Seconds {
+			t.add(s.At, s.Came, s.Served, s.InTime, s.Refused, s.Failed, s.Waiting, s.Busy)
+		}
+	}
+	for _, v := range r.Violations {
+		t.add("BROKEN: " + v)
+	}
+	t.add(fmt.Sprintf("%d events in %.2f s", r.Events, took.Seconds()))
+	return t
+}
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -63,6 +63,7 @@
 		newKeys(&g),
 		newStore(&g),
 		newExpect(&g),
+		newEmulate(&g),
 		newRoute(&g),
 		newProve(&g),
 	)
--- /dev/null
+++ b/internal/emulate/emulate_test.go
@@ -0,0 +1,231 @@
+package emulate
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/core"
+)
+
+// queueing runs a worker alone under Poisson arrivals of exponential work, and gives the
+// mean wait of those served after a warm-up, in mean service times.
+func queueing(cores int, load float64, seed uint64, jobs int) float64 {
+	var clock Clock
+	s := Streams{seed}
+	rng, sizes := s.Of("arrivals", 0), s.Of("sizes", 0)
+	k := NewWorker(
+		&clock,
+		s.Of("worker", 0),
+		"w",
+		WorkerSpec{Cores: cores, Slots: cores, Room: 1 << 30, Speed: 1},
+	)
+	sum, n := 0.0, 0
+	var arrive func()
+	made := 0
+	arrive = func() {
+		if made++; made > jobs {
+			return
+		}
+		size, came, warm := sizes.ExpFloat64(), clock.now, made > jobs/10
+		k.Take("", size, func(brain.Result) {
+			if warm {
+				sum += (clock.now - came).Seconds() - size
+				n++
+			}
+		})
+		clock.After(time.Duration(rng.ExpFloat64()/(load*float64(cores))*1e9), arrive)
+	}
+	arrive()
+	clock.Run(1 << 62)
+	return sum / float64(n)
+}
+
+// erlangC is the wait of M/M/c in mean service times.
+func erlangC(c int, load float64) float64 {
+	a := float64(c) * load
+	term, sum := 1.0, 1.0
+	for k := 1; k < c; k++ {
+		term *= a / float64(k)
+		sum += term
+	}
+	last := term * a / float64(c) / (1 - load)
+	return last / (sum + last) / (float64(c) * (1 - load))
+}
+
+// The worker's waits are those of the closed forms, within the spread of ten runs.
+func TestWaitsOfQueues(t *testing.T) {
+	for _, q := range []struct {
+		cores int
+		load  float64
+	}{{1, 0.5}, {1, 0.8}, {4, 0.7}, {8, 0.9}} {
+		want := erlangC(q.cores, q.load)
+		var runs []float64
+		mean := 0.0
+		for seed := range uint64(10) {
+			w := queueing(q.cores, q.load, seed, 60_000)
+			runs = append(runs, w)
+			mean += w / 10
+		}
+		sd := 0.0
+		for _, w := range runs {
+			sd += (w - mean) * (w - mean) / 9
+		}
+		// 4 standard errors of the mean; the seeds are fixed, so the verdict is, too.
+		if within := 4 * math.Sqrt(sd/10); math.Abs(mean-want) > within {
+			t.Errorf("M/M/%d at %.1f: wait %.4f, want %.4f within %.4f", q.cores, q.load, mean, want, within)
+		}
+	}
+}
+
+func small(seed uint64) *Scenario {
+	return &Scenario{Seed: seed, Duration: Duration(30 * time.Second), Nodes: 2, Zones: []string{"a", "b"},
+		Classes: []ClassSpec{
+			{
+				Name:      "quote",
+				Aim:       Duration(250 * time.Millisecond),
+				Stretch:   1.75,
+				GiveUp:    Duration(5 * time.Second),
+				Worth:     5,
+				LateShare: 0.5,
+				Size:      SizeSpec{Mean: 0.3},
+			},
+			{
+				Name:      "book",
+				Effect:    "dedup",
+				Window:    Duration(25 * time.Second),
+				Aim:       Duration(time.Second),
+				Stretch:   2,
+				GiveUp:    Duration(15 * time.Second),
+				Worth:     15,
+				LateShare: 0.3,
+				Size:      SizeSpec{Dist: "lognormal", Mean: 1, Sigma: 0.5},
+			},
+			{
+				Name:   "once",
+				Effect: "fragile",
+				GiveUp: Duration(10 * time.Second),
+				Size: SizeSpec{Dist: "pareto", Mean: 0.2,
+					Alpha: 2.5},
+			},
+		},
+		Workers: []WorkerGroup{{Count: 5, Zone: "a", Cores: 6, Speed: 1.2, PodSize: 3},
+			{Count: 5, Zone: "b", Cores: 8, Speed: 0.9, PodSize: 3}},
+		Clients: []ClientGroup{
+			{Team: "muscat", Zone: "a", Rate: 20, Retries: 2},
+			{Team: "batinah", Zone: "b", Rate: 20,
+				Retries: 1},
+		},
+	}
+}
+
+// Whatever goes wrong, the real core and brain keep the rules, and all jobs come to an end.
+func TestRulesHoldInEveryTrouble(t *testing.T) {
+	size := map[string]float64{
+		"slow":        6,
+		"errors":      0.7,
+		"stale":       5,
+		"heavy":       15,
+		"flood":       4,
+		"retry-storm": 5,
+	}
+	for kind := range kinds {
+		for seed := range uint64(6) {
+			sc := small(seed)
+			sc.Troubles = []Trouble{
+				{Kind: kind, At: Duration(8 * time.Second), For: Duration(10 * time.Second), Part: 0.3,
+					Size: size[kind], Zone: map[bool]string{true: "a"}[kind == "zone-lost"]},
+			}
+			w, err := New(sc)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := w.Run()
+			if len(r.Violations) > 0 {
+				t.Errorf("%s, seed %d: %v", kind, seed, r.Violations)
+			}
+			if r.Jobs < 1000 || r.Worth < 0.1 {
+				t.Errorf("%s, seed %d: %d jobs, %.3f of their worth", kind, seed, r.Jobs, r.Worth)
+			}
+		}
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	run := func(seed uint64) string {
+		w, err := New(small(seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := json.Marshal(w.Run())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	if run(3) != run(3) {
+		t.Error("one seed gives two runs")
+	}
+	if run(3) == run(4) {
+		t.Error("two seeds give one run")
+	}
+}
+
+var served = core.Answer{Kind: core.Served}
+
+// A watcher that sees nothing proves nothing: each rule's breach is seen.
+func TestWatcherSees(t *testing.T) {
+	w, err := New(small(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Clock.Run(time.Second)
+	n, k := w.nodes[0], w.workers[0]
+	v := w.watch
+	for what, breach := range map[string]func(r *request){
+		"drains":    func(r *request) { v.drains[place(n, k.Name)] = -2 * time.Second; v.sent(n, k, r) },
+		"attempt 6": func(r *request) { r.outs = make([]attemptAt, 5); v.sent(n, w.workers[1], r) },
+		"run twice": func(r *request) { r.class = &w.sc.Classes[2]; v.ran(r); v.ran(r) },
+		"second": func(r *request) {
+			c := &waiter{r: r, n: n}
+			r.runs = 1
+			r.until = time.Hour
+			v.answered(c, served)
+			v.answered(c, served)
+		},
+		"gave up":    func(r *request) { r.runs = 1; v.answered(&waiter{r: r, n: n}, served) },
+		"no worker":  func(r *request) { r.until = time.Hour; v.answered(&waiter{r: r, n: n}, served) },
+		"jobs came,": func(*request) { w.open += 7; v.end(); w.open -= 7 },
+	} {
+		v.broken = nil
+		breach(&request{w: w, class: &w.sc.Classes[0], key: "k"})
+		if len(v.broken) == 0 {
+			t.Errorf("%s: not seen", what)
+		}
+	}
+}
+
+func BenchmarkWorld(b *testing.B) {
+	for _, n := range []int{10, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			events, jobs := 0.0, 0.0
+			for b.Loop() {
+				sc := small(1)
+				sc.Workers = []WorkerGroup{{Count: n, Zone: "a", Cores: 6}}
+				sc.Clients = []ClientGroup{{Team: "t", Zone: "a", Rate: 5 * float64(n)}}
+				sc.Nodes, sc.Zones = 1, []string{"a"}
+				w, err := New(sc)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r := w.Run()
+				events, jobs = events+float64(r.Events), jobs+float64(r.Jobs)
+			}
+			b.ReportMetric(events/b.Elapsed().Seconds(), "events/s")
+			b.ReportMetric(jobs/b.Elapsed().Seconds(), "jobs/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulate/scenario.go
@@ -0,0 +1,337 @@
+package emulate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/tomlfile"
+)
+
+// Duration is a time span, written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalText reads it.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
+
+// Scenario is a world and what happens in it.
+type Scenario struct {
+	Seed     uint64   `toml:"seed"`
+	Duration Duration `toml:"duration"`
+	Nodes    int      `toml:"nodes"`
+	Zones    []string `toml:"zones"`
+
+	Near      Duration `toml:"near"`       // one way within a zone; 0.2 ms, if not given
+	Far       Duration `toml:"far"`        // and between two; 0.6 ms
+	Connect   Duration `toml:"connect"`    // until an attempt at one that is silent is given up; 250 ms
+	ListDelay Duration `toml:"list_delay"` // of news of the list; 1 s
+	Probes    *bool    `toml:"probes"`     // load reports come by probes; yes, if not given
+
+	Classes  []ClassSpec   `toml:"class"`
+	Workers  []WorkerGroup `toml:"workers"`
+	Clients  []ClientGroup `toml:"clients"`
+	Troubles []Trouble     `toml:"trouble"`
+
+	path string
+	raw  []byte
+}
+
+// ClassSpec is a class of jobs and the sizes that its jobs have.
+type ClassSpec struct {
+	Name      string   `toml:"name"`
+	Effect    string   `toml:"effect"` // retryable, dedup or fragile; retryable, if not given
+	Window    Duration `toml:"window"`
+	Aim       Duration `toml:"aim"`
+	Stretch   float64  `toml:"aim_stretch"`
+	GiveUp    Duration `toml:"give_up"`
+	Worth     float64  `toml:"worth"`
+	LateShare float64  `toml:"late_share"`
+	Size      SizeSpec `toml:"size"`
+}
+
+// Keyed says whether jobs of the class carry a key.
+func (c *ClassSpec) Keyed() bool { return c.Effect == "dedup" }
+
+// SizeSpec is a distribution of work, in seconds on a core of speed 1.
+type SizeSpec struct {
+	Dist  string  `toml:"dist"` // exponential (if not given), constant, lognormal or pareto
+	Mean  float64 `toml:"mean"`
+	Sigma float64 `toml:"sigma"` // of lognormal: of the logarithm
+	Alpha float64 `toml:"alpha"` // of pareto: above 1
+}
+
+func (s *SizeSpec) draw(rng *rand.Rand) float64 {
+	switch s.Dist {
+	case "constant":
+		return s.Mean
+	case "lognormal":
+		return s.Mean * math.Exp(s.Sigma*rng.NormFloat64()-s.Sigma*s.Sigma/2)
+	case "pareto":
+		least := s.Mean * (s.Alpha - 1) / s.Alpha
+		return least / math.Pow(1-rng.Float64(), 1/s.Alpha)
+	}
+	return s.Mean * rng.ExpFloat64()
+}
+
+// WorkerGroup is workers of one kind in one zone.
+type WorkerGroup struct {
+	Count     int      `toml:"count"`
+	Zone      string   `toml:"zone"`
+	Cores     int      `toml:"cores"`
+	Slots     int      `toml:"slots"` // as many as cores, if not given
+	Room      int      `toml:"room"`  // 64, if not given; -1: none
+	Speed     float64  `toml:"speed"` // 1, if not given
+	Cold      Duration `toml:"cold"`  // 20 s
+	ColdShare float64  `toml:"cold_share"`
+	Refresh   Duration `toml:"refresh"` // 100 ms
+	Noise     float64  `toml:"noise"`
+	PodSize   int      `toml:"pod_size"`
+
+	WorkerSpec WorkerSpec `toml:"-"`
+}
+
+// ClientGroup is clients of one team in one zone.
+type ClientGroup struct {
+	Team    string    `toml:"team"`
+	Zone    string    `toml:"zone"`
+	Rate    float64   `toml:"rate"`    // jobs a second, arriving at random (Poisson)
+	Classes []string  `toml:"classes"` // all, if not given
+	Mix     []float64 `toml:"mix"`     // how often each; alike, if not given
+	Retries int       `toml:"retries"` // of what was refused or lost with a node
+	Backoff Duration  `toml:"backoff"` // before a retry that was not told when to return
+	Blind   bool      `toml:"blind"`   // it does not heed when to return
+}
+
+// Read reads a scenario.
+func Read(path string, raw []byte) (*Scenario, error) {
+	sc := &Scenario{path: path, raw: raw}
+	if err := tomlfile.Decode(path, raw, sc); err != nil {
+		return nil, err
+	}
+	return sc, sc.check()
+}
+
+func (s *Scenario) wrong(array string, n int, format string, args ...any) error {
+	return &tomlfile.Error{
+		Path: s.path,
+		Line: tomlfile.Nth(s.raw, array, n),
+		Key:  array,
+		Text: fmt.Sprintf(format, args...),
+	}
+}
+
+func (s *Scenario) check() error {
+	fill := func(d *Duration, to time.Duration) {
+		if *d == 0 {
+			*d = Duration(to)
+		}
+	}
+	if len(s.Zones) == 0 {
+		s.Zones = []string{"a"}
+	}
+	if s.Nodes == 0 {
+		s.Nodes = 1
+	}
+	fill(&s.Near, 200*time.Microsecond)
+	fill(&s.Far, 600*time.Microsecond)
+	fill(&s.Connect, 250*time.Millisecond)
+	fill(&s.ListDelay, time.Second)
+	bad := func(key, format string, args ...any) error {
+		return tomlfile.At(s.path, s.raw, key, format, args...)
+	}
+	switch {
+	case s.Duration <= 0 || time.Duration(s.Duration) > 48*time.Hour:
+		return bad("duration", "%v is not above 0 and up to 48h", time.Duration(s.Duration))
+	case s.Nodes < 1 || s.Nodes > 10_000:
+		return bad("nodes", "%d is not from 1 to 10000", s.Nodes)
+	case len(s.Classes) == 0 || len(s.Workers) == 0 || len(s.Clients) == 0:
+		return bad("duration", "there must be a class, workers and clients")
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if c.Effect == "" {
+			c.Effect = "retryable"
+		}
+		fill(&c.GiveUp, 10*time.Second)
+		fill(&c.Aim, time.Duration(c.GiveUp))
+		if c.Worth == 0 {
+			c.Worth = 1
+		}
+		_, known := effects[c.Effect]
+		size := &c.Size
+		switch {
+		case c.Name == "" || !known || c.GiveUp < 0 || c.Aim < 0 || c.Worth < 0:
+			return s.wrong(
+				"class",
+				i,
+				"%q: a name, an effect (retryable, dedup, fragile) and times above 0 are wanted",
+				c.Name,
+			)
+		case c.Keyed() && c.Window <= 0:
+			return s.wrong("class", i, "%s: a dedup class has a window", c.Name)
+		case !(size.Mean > 0):
+			return s.wrong("class", i, "%s: size.mean must be above 0", c.Name)
+		case !slices.Contains([]string{"", "exponential", "constant", "lognormal", "pareto"}, size.Dist):
+			return s.wrong(
+				"class",
+				i,
+				"%s: size.dist: %q is not exponential, constant, lognormal or pareto",
+				c.Name,
+				size.Dist,
+			)
+		case size.Dist == "pareto" && !(size.Alpha > 1):
+			return s.wrong("class", i, "%s: size.alpha must be above 1, else there is no mean", c.Name)
+		}
+	}
+	return s.checkGroups(fill)
+}
+
+var effects = map[string]brain.Effect{"retryable": brain.Safe, "dedup": brain.Keyed, "fragile": brain.Unsafe}
+
+func (s *Scenario) checkGroups(fill func(*Duration, time.Duration)) error {
+	for i := range s.Workers {
+		g := &s.Workers[i]
+		if g.Zone == "" {
+			g.Zone = s.Zones[0]
+		}
+		if g.Cores == 0 {
+			g.Cores = 1
+		}
+		if g.Slots == 0 {
+			g.Slots = g.Cores
+		}
+		if g.Room == 0 {
+			g.Room = 64
+		}
+		if g.Speed == 0 {
+			g.Speed = 1
+		}
+		if g.ColdShare == 0 {
+			g.ColdShare = 0.12
+		}
+		fill(&g.Cold, 20*time.Second)
+		fill(&g.Refresh, 100*time.Millisecond)
+		if g.Count < 1 || g.Cores < 1 || g.Slots < 1 || !(g.Speed > 0) || g.Room < -1 ||
+			!slices.Contains(s.Zones, g.Zone) {
+			return s.wrong("workers", i, "count, cores, slots and speed must be above 0, and the zone known")
+		}
+		g.WorkerSpec = WorkerSpec{Cores: g.Cores, Slots: g.Slots, Room: max(g.Room, 0), Speed: g.Speed,
+			Cold: time.Duration(
+				g.Cold,
+			), ColdShare: g.ColdShare, Refresh: time.Duration(g.Refresh), Noise: g.Noise}
+	}
+	for i := range s.Clients {
+		g := &s.Clients[i]
+		if g.Zone == "" {
+			g.Zone = s.Zones[i%len(s.Zones)]
+		}
+		if len(g.Classes) == 0 {
+			for _, c := range s.Classes {
+				g.Classes = append(g.Classes, c.Name)
+			}
+		}
+		if len(g.Mix) == 0 {
+			for range g.Classes {
+				g.Mix = append(g.Mix, 1)
+			}
+		}
+		fill(&g.Backoff, 500*time.Millisecond)
+		if !(g.Rate > 0) || len(g.Mix) != len(g.Classes) || g.Retries < 0 ||
+			!slices.Contains(s.Zones, g.Zone) {
+			return s.wrong(
+				"clients",
+				i,
+				"the rate must be above 0, the zone known, and mix as long as classes",
+			)
+		}
+		for _, name := range g.Classes {
+			if !slices.ContainsFunc(s.Classes, func(c ClassSpec) bool { return c.Name == name }) {
+				return s.wrong("clients", i, "there is no class %q", name)
+			}
+		}
+	}
+	for i := range s.Troubles {
+		if err := s.checkTrouble(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) keyed() bool {
+	return slices.ContainsFunc(s.Classes, func(c ClassSpec) bool { return c.Keyed() })
+}
+
+func (s *Scenario) window() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, time.Duration(c.Window))
+	}
+	return longest
+}
+
+func (s *Scenario) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, time.Duration(c.GiveUp))
+	}
+	return longest
+}
+
+// settings are what each node is told.
+func (s *Scenario) settings() brain.Settings {
+	probes := s.Probes == nil || *s.Probes
+	set := brain.Settings{
+		Fleet:        s.Nodes,
+		Zones:        len(s.Zones),
+		Kinds:        len(s.Workers),
+		MustAsk:      true,
+		WorthByWork:  true,
+		Tick:         5 * time.Millisecond,
+		ReportProbed: probes,
+		Goal: brain.Goal{Whole: 0.6, WorstClass: 0.2, WorstTenant: 0.1,
+			WorstWindow: 0.1},
+		Limits: brain.Limits{Attempts: 5, Cancel: true, Probes: probes, RetryAfter: true, SecondCopies: true,
+			ConnectTimeout: time.Duration(
+				s.Connect,
+			), ConnIdle: 15 * time.Second, MaxRetryAfter: 2 * time.Second},
+		Rules: brain.Rules{
+			AnswerSlack:    20 * time.Millisecond,
+			AskEvery:       10 * time.Second,
+			DrainGrace:     time.Second,
+			ColdShare:      0.12,
+			Cold:           20 * time.Second,
+			OverloadFactor: 3,
+			Fall:           time.Second,
+		},
+		OverShare: 0.1,
+		Prices:    brain.Prices{CrossZone: 0.02, Waste: 0.3, Probe: 0.002, LateFail: 0.03},
+	}
+	for i := range s.Workers {
+		set.Rules.Cold = max(set.Rules.Cold, time.Duration(s.Workers[i].Cold))
+		set.Rules.ColdShare = min(set.Rules.ColdShare, s.Workers[i].ColdShare)
+	}
+	for _, c := range s.Classes {
+		set.Classes = append(
+			set.Classes,
+			brain.Class{Name: c.Name, Aim: time.Duration(c.Aim), Stretch: c.Stretch,
+				Deadline: time.Duration(
+					c.GiveUp,
+				), Worth: c.Worth, LateShare: c.LateShare, Effect: effects[c.Effect],
+				Scope: brain.ScopeCell, Window: time.Duration(c.Window), Kind: -1},
+		)
+	}
+	for _, g := range s.Clients {
+		if !slices.ContainsFunc(set.Tenants, func(t brain.Tenant) bool { return t.Name == g.Team }) {
+			set.Tenants = append(set.Tenants, brain.Tenant{Name: g.Team})
+		}
+	}
+	return set
+}
