--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run prove proto
+.PHONY: build test lint run demo prove proto
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -14,6 +14,10 @@
 run: build
 	BALANCER_CONFIG=$${BALANCER_CONFIG:-deploy/example.json} exec bin/moorstack -faktory deploy/faktory.toml
 
+# A real node, ten modelled workers, clients, and two workers that die: half a minute.
+demo: build
+	bin/moorstack emulate demo
+
 # Seeded stories of failure, then real processes whose leader is killed.
 prove: build
 	bin/moorstack prove config --seeds 40
--- a/cmd/moorstack/lab.go
+++ b/cmd/moorstack/lab.go
@@ -9,12 +9,12 @@
 	"github.com/spf13/cobra"
 )
 
-// newExperiment hands the command over to the program beside this one. With the libraries
-// for columns and charts linked in, the platform's node would take 18 MB at rest of 16.
-func newExperiment() *cobra.Command {
+// newLab hands a command over to the program beside this one. With the libraries for columns,
+// charts and histograms linked in, the platform's node would take 18 MB at rest of 16.
+func newLab(name, short string) *cobra.Command {
 	return &cobra.Command{
-		Use:                "experiment",
-		Short:              "Run plans of emulated worlds, and say which differences are real",
+		Use:                name,
+		Short:              short,
 		DisableFlagParsing: true,
 		RunE: func(_ *cobra.Command, args []string) error {
 			self, err := os.Executable()
@@ -22,7 +22,7 @@
 				return exitError{exitFailed, err}
 			}
 			lab := filepath.Join(filepath.Dir(self), "moorlab")
-			err = syscall.Exec(lab, append([]string{lab, "experiment"}, args...), os.Environ())
+			err = syscall.Exec(lab, append([]string{lab, name}, args...), os.Environ())
 			return exitError{
 				exitFailed,
 				fmt.Errorf("%s, which has this command, can't be started: %w; make build makes it",
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,387 @@
+// Package stage plays the emulator's workers and the list service over loopback sockets, in
+// real time, round a real node: the same model of a worker as in virtual time, spoken to
+// by the platform's protocol.
+package stage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"moorstack/brain"
+	"moorstack/internal/emulate"
+)
+
+// Options are what is played.
+type Options struct {
+	Node    string // the node's address, for call-backs
+	Listen  string // of the list service; a free port, if empty
+	Workers int
+	Spec    emulate.WorkerSpec
+	Zone    string
+	Kind    string
+	Seed    uint64
+}
+
+// Stage is workers and a list service that listen.
+type Stage struct {
+	o       Options
+	mu      sync.Mutex // over the model: its clock runs under it
+	clock   emulate.Clock
+	began   time.Time
+	workers []*worker
+	list    *http.Server
+	address string
+	watches map[chan []byte]bool
+	version int64
+	calls   *http.Client
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
+}
+
+// worker is a modelled worker behind a socket.
+type worker struct {
+	s       *Stage
+	name    string
+	model   *emulate.Worker
+	address string
+	server  *http.Server
+	giveUp  map[string]func()
+	state   string
+	started int64
+}
+
+// Loopback refuses an address that is not of this machine.
+func Loopback(address string) error {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is not an address and a port", address)
+	}
+	if !at.Addr().Unmap().IsLoopback() {
+		return fmt.Errorf("%s is not on loopback; nothing is sent to other machines", address)
+	}
+	return nil
+}
+
+// Start begins to play.
+func Start(o Options) (*Stage, error) {
+	if err := Loopback(o.Node); err != nil {
+		return nil, err
+	}
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	s := &Stage{o: o, began: time.Now(), watches: map[chan []byte]bool{}, version: 1,
+		calls: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	streams := emulate.Streams{Seed: o.Seed}
+	for i := range o.Workers {
+		w := &worker{s: s, name: fmt.Sprintf("w%05d", i), giveUp: map[string]func(){}, state: "SERVING"}
+		w.model = emulate.NewWorker(&s.clock, streams.Of("worker", i), w.name, o.Spec)
+		if err := w.listen("127.0.0.1:0"); err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.workers = append(s.workers, w)
+	}
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.address = l.Addr().String()
+	s.list = &http.Server{Handler: http.HandlerFunc(s.discovery), ReadHeaderTimeout: 5 * time.Second}
+	go s.list.Serve(l)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.ended.Go(func() { s.run(ctx) })
+	return s, nil
+}
+
+// Discovery is where the list service listens.
+func (s *Stage) Discovery() string { return s.address }
+
+// run has the model's clock follow the real one.
+func (s *Stage) run(ctx context.Context) {
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.model(func() {})
+		}
+	}
+}
+
+// model does something to the model, at the present.
+func (s *Stage) model(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock.Run(time.Since(s.began))
+	f()
+}
+
+// Close ends it all.
+func (s *Stage) Close() {
+	if s.stop != nil {
+		s.stop()
+		s.ended.Wait()
+	}
+	if s.list != nil {
+		s.list.Close()
+	}
+	for _, w := range s.workers {
+		if w.server != nil {
+			w.server.Close()
+		}
+	}
+}
+
+func (w *worker) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	w.address = l.Addr().String()
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}
+	go w.server.Serve(l)
+	return nil
+}
+
+// ServeHTTP is the worker's side of the platform's protocol.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/_load":
+		var rep brain.Report
+		w.s.model(func() { rep = w.model.Report() })
+		fmt.Fprintf(rw, "TEXT pending=%.2f, x0=%.2f", rep.Queue, rep.FreeSlots)
+	case r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/jobs/"):
+		id := strings.TrimPrefix(r.URL.Path, "/jobs/")
+		w.s.model(func() {
+			if f := w.giveUp[id]; f != nil {
+				delete(w.giveUp, id)
+				f()
+			}
+		})
+	case r.Method == http.MethodPost:
+		w.take(rw, r)
+	default:
+		rw.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// take takes a job whose body says "size=SECONDS".
+func (w *worker) take(rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
+	id := r.Header.Get("X-Request-ID")
+	if err != nil || id == "" {
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	size := 0.001
+	if text, ok := strings.CutPrefix(string(body), "size="); ok {
+		if v, err := strconv.ParseFloat(text, 64); err == nil && v >= 0 && v < 3600 {
+			size = v
+		}
+	}
+	atOnce, now := true, brain.OK
+	w.s.model(func() {
+		done := func(res brain.Result) {
+			if atOnce {
+				now = res
+				return
+			}
+			delete(w.giveUp, id)
+			go w.callBack(id, res)
+		}
+		now = brain.Moot // not ended yet
+		giveUp := w.model.Take(r.Header.Get("Idempotency-Key"), size, done)
+		if atOnce = false; now == brain.Moot {
+			w.giveUp[id] = giveUp
+		}
+	})
+	switch now {
+	case brain.Moot:
+		rw.WriteHeader(http.StatusAccepted)
+	case brain.Full:
+		rw.Header().Set("X-Not-Processed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case brain.OK:
+		rw.WriteHeader(http.StatusAccepted)
+		go w.callBack(id, now)
+	default:
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
+// callBack tells the node what has become of a job, until it is heard.
+func (w *worker) callBack(id string, res brain.Result) {
+	event := map[string]string{"id": id, "from": w.name, "state": "failed"}
+	switch res {
+	case brain.OK:
+		event["state"], event["result"] = "done", "done by "+w.name
+	case brain.Reset:
+		event["state"] = "lost"
+	case brain.Full:
+		event["state"] = "returned"
+	}
+	b, err := json.Marshal(event)
+	if err != nil {
+		return
+	}
+	for range 10 {
+		resp, err := w.s.calls.Post(
+			"http://"+w.s.o.Node+"/v1/job-events",
+			"application/json",
+			bytes.NewReader(b),
+		)
+		if err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode < 300 {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Crash kills a worker: its connections are reset, its jobs lost.
+func (s *Stage) Crash(n int) error {
+	if n < 0 || n >= len(s.workers) {
+		return fmt.Errorf("there is no worker %d", n)
+	}
+	w := s.workers[n]
+	w.server.Close()
+	s.model(func() {
+		w.model.Crash()
+		w.state = "DELETED"
+	})
+	s.tell(w)
+	return nil
+}
+
+// Return starts a worker again, cold.
+func (s *Stage) Return(n int) error {
+	if n < 0 || n >= len(s.workers) {
+		return fmt.Errorf("there is no worker %d", n)
+	}
+	w := s.workers[n]
+	if err := w.listen(w.address); err != nil {
+		return err
+	}
+	s.model(func() {
+		w.model.Start()
+		w.state, w.started = "SERVING", time.Now().UnixMilli()
+	})
+	s.tell(w)
+	return nil
+}
+
+type line struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"startedAtMs"`
+}
+
+type news struct {
+	Generation int64  `json:"generation"`
+	Reset      bool   `json:"reset"`
+	Instances  []line `json:"instances"`
+}
+
+func (w *worker) line() line {
+	return line{w.name, w.address, w.s.o.Zone, w.s.o.Kind, 1, w.state, 1, w.started}
+}
+
+// tell tells all watchers of a worker.
+func (s *Stage) tell(w *worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	b, _ := json.Marshal(news{s.version, false, []line{w.line()}})
+	for c := range s.watches {
+		select {
+		case c <- b:
+		default: // who doesn't read is told the whole list when it comes again
+			close(c)
+			delete(s.watches, c)
+		}
+	}
+}
+
+// discovery is the list service's side of the platform's protocol.
+func (s *Stage) discovery(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/catalog/members" {
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	c := make(chan []byte, 64)
+	s.mu.Lock()
+	all := news{Generation: s.version, Reset: true}
+	for _, w := range s.workers {
+		if w.state != "DELETED" {
+			all.Instances = append(all.Instances, w.line())
+		}
+	}
+	watch := r.URL.Query().Get("stream") == "1"
+	if watch {
+		s.watches[c] = true
+	}
+	s.mu.Unlock()
+	b, err := json.Marshal(all)
+	if err != nil {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		delete(s.watches, c)
+		s.mu.Unlock()
+	}()
+	send := func(b []byte) error {
+		if _, err := rw.Write(append(b, '\n')); err != nil {
+			return err
+		}
+		if f, ok := rw.(http.Flusher); ok {
+			f.Flush()
+			return nil
+		}
+		return errors.New("no flushing")
+	}
+	if send(b) != nil || !watch {
+		return
+	}
+	idle := time.NewTicker(2 * time.Second)
+	defer idle.Stop()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case b, ok := <-c:
+			if !ok || send(b) != nil {
+				return
+			}
+		case <-idle.C:
+			if send(nil) != nil {
+				return
+			}
+		}
+	}
+}
