--- a/cmd/moorlab/demo.go
+++ b/cmd/moorlab/demo.go
@@ -22,7 +22,8 @@
 )
 
 // demoSettings are the deployment that the demo's node is told of.
-const demoSettings = `{"az":0,"me":0,"fleet_size":1,"granularity":5000000,"worth_by":"work","kinds":["any"],` +
+const demoSettings = `{"az":0,"me":0,"fleet_size":1,"granularity":5000000,` +
+	`"worth_by":"work","kinds":["any"],` +
 	`"zones":["ruwi"],"membership_mode":"on_request","classes":[` +
 	`{"name":"trip-quote","credit":5,"effect":"retryable","give_up":5000000000,"late_share":0.5,` +
 	`"slo":250000000,"aim_stretch":1.75},` +
@@ -31,7 +32,8 @@
 	`"tenants":[{"name":"muscat","share":0.6},{"name":"batinah","share":0.4}],"blend":{"whole":1},` +
 	`"contract":{"answer_slack":20000000,"ask_every":10000000000,"cold":20000000000,"cold_share":0.12,` +
 	`"drain_grace":1000000000,"fall":1000000000,"overload_factor":3},"extra":{"report_x0":"free slots"},` +
-	`"limits":{"cancel":true,"conn_idle":15000000000,"connect_timeout":250000000,"max_retry_after":2000000000,` +
+	`"limits":{"cancel":true,"conn_idle":15000000000,"connect_timeout":250000000,` +
+	`"max_retry_after":2000000000,` +
 	`"probes":true,"retry_after":true,"second_copies":true,"try_limit":5},` +
 	`"report":{"how":"pull","names":["pending","x0"]}}`
 
