Play random storms of troubles and shrink what breaks a rule

Troubles one at a time find little; what breaks is several at once, and a person needs the few that matter.

emulate storm draws troubles from a seed, plays a scenario under them on all cores, and leaves out and shortens troubles as long as a rule is still broken.

--- a/cmd/moorstack/emulate.go
+++ b/cmd/moorstack/emulate.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -60,12 +62,95 @@
 	run.Flags().Uint64Var(&seed, "seed", 0, "in place of the file's")
 	run.Flags().BoolVar(&seconds, "seconds", false, "also a row for each second")
 	addOutput(run, g)
-	cmd.AddCommand(run,
+	cmd.AddCommand(run, newStorm(g),
 		newLab("demo", "A real node, ten modelled workers, clients and a crash, in half a minute"),
 		newLab("paper", "Waits against the number of servers, for 1, 2, d(N) and all draws"))
 	return cmd
 }
 
+func newStorm(g *global) *cobra.Command {
+	var seeds, most int
+	var first uint64
+	cmd := &cobra.Command{
+		Use:   "storm FILE",
+		Short: "Play a scenario under random troubles, many seeds, and shrink what breaks a rule",
+		Long: `storm plays the scenario in FILE again and again, each time under troubles drawn from the
+seed: the same for a seed. Where a rule is broken it takes troubles away and shortens the
+others as long as it still is, and prints what is left, to be put into a scenario.`,
+		Example: "  moorstack emulate storm experiments/small.toml --seeds 1000",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			sc, err := emulate.Read(args[0], raw)
+			if err != nil {
+				return err
+			}
+			if seeds < 1 || most < 1 {
+				return errors.New("--seeds and --most must be above 0")
+			}
+			var broken []emulate.Storm
+			var worth []float64
+			jobs := 0
+			began := time.Now()
+			err = emulate.Storms(sc, first, seeds, most, func(s emulate.Storm) {
+				jobs += s.Jobs
+				worth = append(worth, s.Worth)
+				if len(s.Violations) > 0 {
+					broken = append(broken, s)
+				}
+				if terminal(os.Stderr) {
+					fmt.Fprintf(os.Stderr, "\r%d of %d storms, %d broken ", len(worth), seeds, len(broken))
+				}
+			})
+			if terminal(os.Stderr) {
+				fmt.Fprint(os.Stderr, "\r\033[K")
+			}
+			if err != nil {
+				return err
+			}
+			slices.Sort(worth)
+			t := table{}
+			t.add(fmt.Sprintf("%d storms, %d jobs, %d break a rule; %.1f s", seeds, jobs, len(broken),
+				time.Since(began).Seconds()))
+			t.add(fmt.Sprintf("worth earned: %.1f%% in the worst, %.1f%% in the middle, %.1f%% in the best",
+				100*worth[0], 100*worth[len(worth)/2], 100*worth[len(worth)-1]))
+			for _, s := range broken {
+				t.add("")
+				t.add(fmt.Sprintf("seed %d: %s", s.Seed, s.Violations[0]))
+				for _, x := range s.Small {
+					t.add(
+						fmt.Sprintf(
+							"  kind = %q, at = %q, for = %q, part = %.3f, size = %.2f, zone = %q, team = %q",
+							x.Kind,
+							time.Duration(x.At),
+							time.Duration(x.For),
+							x.Part,
+							x.Size,
+							x.Zone,
+							x.Team,
+						),
+					)
+				}
+			}
+			if err := g.print(cmd.OutOrStdout(), broken, t); err != nil {
+				return err
+			}
+			if len(broken) > 0 {
+				return exitError{exitFailed, fmt.Errorf("%d storms break a rule", len(broken))}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 100, "how many storms")
+	cmd.Flags().Uint64Var(&first, "first", 0, "the first seed")
+	cmd.Flags().IntVar(&most, "most", 6, "troubles in a storm, at the most")
+	addOutput(cmd, g)
+	return cmd
+}
+
 func runTable(r *emulate.Result, took time.Duration) table {
 	t := table{head: []string{"", "CAME", "SERVED", "IN TIME", "REFUSED", "FAILED", "P50", "P99", "EARNED"}}
 	percent := func(a, b float64) string {
--- a/internal/emulate/watch.go
+++ b/internal/emulate/watch.go
@@ -15,10 +15,14 @@
 type watcher struct {
 	w      *World
 	drains map[string]time.Duration // by node and worker: since when it is told to drain or be gone
+	starts map[string]time.Duration // likewise: the last start that the node was told of
 	broken []string
 }
 
-func newWatcher(w *World) *watcher { return &watcher{w: w, drains: map[string]time.Duration{}} }
+func newWatcher(w *World) *watcher {
+	return &watcher{w: w, drains: map[string]time.Duration{},
+		starts: map[string]time.Duration{}}
+}
 
 func (v *watcher) violate(r *request, format string, args ...any) {
 	if len(v.broken) >= 5 {
@@ -46,12 +50,18 @@
 		at := place(n, e.Name)
 		if e.State == brain.Ready {
 			delete(v.drains, at)
+			v.starts[at] = e.Since
 		} else if _, known := v.drains[at]; !known {
 			v.drains[at] = v.w.Clock.now
 		}
 	}
 }
 
+// aware says whether a node has been told of a worker's last start.
+func (v *watcher) aware(n *Node, k *Worker) bool {
+	return k.started == 0 || v.starts[place(n, k.Name)] == k.started+epoch
+}
+
 // sent checks an attempt as it goes out.
 func (v *watcher) sent(n *Node, k *Worker, r *request) {
 	now := v.w.Clock.now
@@ -107,7 +117,7 @@
 		v.violate(nil, "%d jobs came, %d ended and %d are open", came, ended, v.w.open)
 	}
 	for _, k := range v.w.workers {
-		if k.fell {
+		if k.pushed {
 			v.violate(nil, "%s was cold and pushed over", k.Name)
 		}
 	}
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -48,6 +48,7 @@
 	pod     *pod
 	taken   []coldWork
 	fell    bool
+	pushed  bool    // and two thirds of what pushed it came from those who knew of its start
 	served  float64 // work done, in seconds at speed 1
 }
 
@@ -96,8 +97,9 @@
 }
 
 type coldWork struct {
-	at   time.Duration
-	work float64
+	at    time.Duration
+	work  float64
+	aware bool // whoever sent it had been told of the start
 }
 
 // NewWorker makes a worker that has been up for long.
@@ -198,14 +200,15 @@
 // Busy is the number of jobs in work.
 func (w *Worker) Busy() int { return len(w.running) }
 
-// Take takes a job, or hands it back by done(Full). What is returned gives it up.
-func (w *Worker) Take(key string, size float64, done func(brain.Result)) (giveUp func()) {
+// Take takes a job, or hands it back by done(Full). What is returned gives it up. Aware says
+// that whoever sends it has been told of the worker's last start.
+func (w *Worker) Take(key string, size float64, aware bool, done func(brain.Result)) (giveUp func()) {
 	none := func() {}
 	if w.down || w.fell {
 		done(brain.ConnectFailed)
 		return none
 	}
-	w.cold(size)
+	w.cold(size, aware)
 	if w.failing > 0 && w.rng.Float64() < w.failing {
 		done(brain.Error)
 		return none
@@ -255,28 +258,31 @@
 }
 
 // cold notes what a cold worker is sent, and has it fall over where that is too much: more
-// than three times what it can do at that moment, for a second.
-func (w *Worker) cold(size float64) {
+// than three times what it can do at that moment, for a second. It breaks the rule if two
+// thirds of that came from those who had been told of its start.
+func (w *Worker) cold(size float64, aware bool) {
 	if w.warmth() >= 1 {
 		w.taken = w.taken[:0]
 		return
 	}
 	const factor, span = 3, time.Second
-	keep := w.taken[:0]
-	sum := size
-	for _, t := range w.taken {
+	var keep []coldWork
+	sum, known := 0.0, 0.0
+	for _, t := range append(w.taken, coldWork{w.clock.now, size, aware}) {
 		if w.clock.now-t.at < span {
 			keep = append(keep, t)
 			sum += t.work
+			if t.aware {
+				known += t.work
+			}
 		}
 	}
-	w.taken = append(keep, coldWork{w.clock.now, size})
+	w.taken = keep
 	can := w.warmth() * float64(w.Spec.Cores) * w.Spec.Speed * span.Seconds()
 	// A little slack for chance: a job or two may come at once.
 	if sum > factor*can+2*size && !w.fell {
-		w.fell = true
 		w.Crash()
-		w.fell = true
+		w.fell, w.pushed = true, w.pushed || 3*known >= 2*sum
 	}
 }
 
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -161,6 +161,7 @@
 	if n.core, err = core.New(set, seed, n.clock, dir, n.w.log); err != nil {
 		panic(fmt.Sprintf("emulate: a node can't be made: %v", err)) // check has tried it
 	}
+	n.w.watch.told(n, brain.Cached, known)
 	n.core.RouteSet(brain.Cached, n.entries(known))
 }
 
@@ -224,6 +225,7 @@
 	j := b.Job.(*request)
 	w.watch.sent(l.n, l.worker, j)
 	br := &branch{l: l, b: b}
+	aware := w.watch.aware(l.n, l.worker)
 	there := w.latency(l.n.zone, l.worker.Zone)
 	w.Clock.at(w.Clock.now+there, func() {
 		if br.over || l.worker.lossy {
@@ -234,7 +236,7 @@
 			key = j.key
 		}
 		life := l.worker.life
-		br.giveUp = l.worker.Take(key, j.size, func(res brain.Result) { br.back(res, life) })
+		br.giveUp = l.worker.Take(key, j.size, aware, func(res brain.Result) { br.back(res, life) })
 	})
 	return br
 }
