Mend a race between an experiment's finished runs and those still to be begun

A fresh checkout's run ended in a concurrent map read and write: the goroutine that hands out runs looked up what was finished while results were noted. What is left is found out before the first result now.

Measured: the packages' tests pass under the race detector; five plain runs in a row pass.

--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -113,12 +113,15 @@
 			}
 		})
 	}
+	var left []int // found out before results come in, which are noted beside
+	for run := range p.Runs() {
+		if finished[run] == nil {
+			left = append(left, run)
+		}
+	}
 	go func() {
 		defer close(results)
-		for run := range p.Runs() {
-			if finished[run] != nil {
-				continue
-			}
+		for _, run := range left {
 			select {
 			case jobs <- run:
 			case <-ctx.Done():
