Ask for a revision in one place, and test that a rollback brings one back

config set and rollback each asked for a revision and read it by themselves, and rollback had only been tried by hand.

configAt asks and reads. The membership test changes the configuration, rolls it back through another instance, compares the two, and asks for a revision that is not kept.

--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -222,6 +222,14 @@
 	t.Parallel()
 	g := newGroup(t)
 	g.form("n1", "n2", "n3")
+	// An older revision comes back as a new one, and says the same.
+	g.edit("c.toml", "n1", "worth = 5.0", "worth = 6.0")
+	g.must("config", "propose", "c.toml", "--config", "n1.toml")
+	g.expect(0, "in force as revision 3", "config", "rollback", "1", "--config", "n2.toml")
+	if out := g.must("config", "diff", "1", "3", "--config", "n3.toml"); strings.TrimSpace(out) != "" {
+		t.Errorf("revision 3 differs from 1: %s", out)
+	}
+	g.expect(exitFailed, "revision 9 is not kept", "config", "rollback", "9", "--config", "n2.toml")
 	// A wiped instance is a new one: it has no vote under its old name.
 	g.kill("n3", syscall.SIGKILL)
 	check(t, os.RemoveAll(filepath.Join(g.dir, "d-n3")))
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -67,6 +67,15 @@
 	return &configFile{rev.Revision, *d}, nil
 }
 
+// configAt asks for a revision; 0: the newest.
+func configAt(ctx context.Context, c schema.ControlClient, revision uint64) (*configFile, error) {
+	rev, err := c.GetConfig(ctx, &schema.GetConfigRequest{Revision: revision})
+	if err != nil {
+		return nil, err
+	}
+	return fileOf(rev)
+}
+
 func writeTOML(w io.Writer, f *configFile) error {
 	e := toml.NewEncoder(w)
 	e.Indent = ""
@@ -441,11 +450,7 @@
 				return err
 			}
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
-				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
-				if err != nil {
-					return err
-				}
-				doc, err := fileOf(newest)
+				doc, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
 				}
@@ -462,7 +467,7 @@
 					g,
 					c,
 					&f,
-					newest.Revision,
+					doc.Revision,
 					&doc.Document,
 					func(p string) string { return p },
 				)
@@ -518,15 +523,11 @@
 				f.note = fmt.Sprintf("back to revision %d", n)
 			}
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
-				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
-				if err != nil {
-					return err
-				}
-				old, err := c.GetConfig(ctx, &schema.GetConfigRequest{Revision: n})
+				newest, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
 				}
-				doc, err := fileOf(old)
+				doc, err := configAt(ctx, c, n)
 				if err != nil {
 					return err
 				}
