Keep operators' bans of workers over whatever the list says

The operators take a trip worker out and put it back by hand, and under the rule on drains nothing new may go to it meanwhile, whatever discovery lists. The core keeps the bans by name as an overlay on the route set and gives a banned next hop to the module as draining. Not taken: to change the list itself, for a whole list after a gap would lift a ban unseen.

A worker comes back restarted, and the list tells its new start late: until then it counts as started when it was put back. By its pace it would lose every draw for longer than the operators wait (5 s), so the module owes it one job within its cold budget, and draws decide from then on. Not taken: a weight in every draw, which changes the mechanism for all.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,7 +49,7 @@
 func (b *Balancer) try(now time.Duration, q *request) bool {
 	for q.start(); ; {
 		w := b.pick(now, q)
-		if w != nil && b.worthIt(now, q, w) {
+		if w != nil && (w.owed && len(q.tries) == 0 || b.worthIt(now, q, w)) {
 			b.send(now, q, w)
 			return true
 		}
@@ -63,6 +63,9 @@
 // fewest of this dispatcher's unfinished jobs, ties at random. Nil if none is eligible. Where workers
 // were asked first, those that have answered are the draw.
 func (b *Balancer) pick(now time.Duration, q *request) *worker {
+	if w := b.creditor(now, q); w != nil {
+		return w
+	}
 	var drawn []*worker
 	if q.heard > 0 {
 		drawn = b.eligible(now, q, q.asked[:q.heard])
@@ -75,6 +78,22 @@
 	return b.least(now, q, drawn)
 }
 
+// creditor is a worker that is owed a job and may have q as its first.
+//
+// Hazard: one that operators put back is cold, and by its pace loses every draw for longer than they
+// wait to see it in use. One job, within its cold budget, shows that it works; then draws decide.
+func (b *Balancer) creditor(now time.Duration, q *request) *worker {
+	if b.owing == 0 || len(q.tries) > 0 {
+		return nil
+	}
+	for _, w := range b.workers {
+		if w.owed && b.trusted(now, q, w) && b.may(now, q, w) {
+			return w
+		}
+	}
+	return nil
+}
+
 // drawn is a fresh draw.
 func (b *Balancer) drawn(now time.Duration, q *request) []*worker {
 	draw := b.eligible(now, q, b.workers)
@@ -557,6 +576,10 @@
 	q.tries = append(q.tries, attempt{w: w, sent: now})
 	q.out++
 	w.own += q.size()
+	if w.owed {
+		w.owed = false
+		b.owing--
+	}
 	if b.warmth(now, w) < 1 {
 		oldest := now - b.set.Rules.Fall*time.Duration(b.set.Fleet) // as far as any span reaches
 		w.sent = append(keep(w.sent, func(l load) bool { return l.at > oldest }), load{now, b.cost(q)})
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1188,3 +1188,40 @@
 		}
 	}
 }
+
+// A cold worker that operators have put back gets a job soon, and no more than its budget.
+func TestOwedWorkerGetsAJob(t *testing.T) {
+	for _, owed := range []bool{true, false} {
+		set := testSettings()
+		set.Rules.Cold, set.Rules.ColdShare = 20*time.Second, 0.12
+		set.Rules.OverloadFactor, set.Rules.Fall = 3, time.Second
+		r := newRecorder(t, set)
+		list := fleet(4)
+		r.members(Whole, list...)
+		run := func(from, n int) (got int) {
+			for i := range n {
+				r.now += 50 * time.Millisecond
+				r.request(job(from+i, 0))
+				s := r.last()
+				r.now += 30 * time.Millisecond
+				if r.end(s, OK); s.w == list[0].ID {
+					got++
+				}
+			}
+			return got
+		}
+		run(0, 100)
+		back := list[0]
+		back.Since = r.now
+		r.members(Changes, back)
+		if owed {
+			r.b.Owe(back.ID)
+		}
+		if got := run(1000, 1); (got == 1) != owed {
+			t.Errorf("owed %v: the first job went there %d times", owed, got)
+		}
+		if r.b.owing != 0 {
+			t.Error("it is owed more than one job")
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -38,6 +38,7 @@
 	stuck  float64       // seconds that the oldest job of ours there has waited to start
 	asked  time.Duration // when it was last probed
 	away   float64       // how far it is from home, in workers
+	owed   bool          // it was put back by hand, and has had no job since
 }
 
 // attempt is one Send of a request.
@@ -128,6 +129,7 @@
 	patience time.Duration // the shortest deadline of a class
 	started  bool
 	asks     int           // failed calls for the list in a row
+	owing    int           // workers that are owed a job
 	refused  int           // requests refused since the last log line
 	failed   int           // requests failed since
 	logged   time.Duration // when that was
@@ -222,6 +224,38 @@
 	b.settle()
 }
 
+// Owe takes word that operators have put a worker back which they had taken out. It was
+// restarted meanwhile: what was believed of the process before is forgotten, and it is
+// owed a job.
+func (b *Balancer) Owe(id WorkerID) {
+	w := b.byID[id]
+	if w == nil {
+		return
+	}
+	w.ill, w.wait, w.stuck, w.others = 0, 0, 0, 0
+	if !w.owed {
+		w.owed = true
+		b.owing++
+	}
+}
+
+// Distrusted is how many ready workers are left out of draws by choice. Where none is
+// trusted, all are drawn.
+func (b *Balancer) Distrusted(now time.Duration) int {
+	ready, ill := 0, 0
+	for _, w := range b.workers {
+		if w.State == Ready {
+			if ready++; b.illness(now, w) >= suspect {
+				ill++
+			}
+		}
+	}
+	if ill == ready {
+		return 0
+	}
+	return ill
+}
+
 // Request takes a new request and sends, refuses or fails it.
 func (b *Balancer) Request(now time.Duration, r Request) {
 	if q := b.admit(now, r); q != nil {
@@ -429,7 +463,9 @@
 func (b *Balancer) prune() {
 	b.workers = keep(b.workers, func(w *worker) bool {
 		if w.State == Removed && w.own == 0 {
-			delete(b.byID, w.ID)
+			if delete(b.byID, w.ID); w.owed {
+				b.owing--
+			}
 			return false
 		}
 		return true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -136,6 +136,8 @@
 	name string
 	out  int
 	gone bool
+
+	listed brain.Worker // as the route set has it, bans apart
 }
 
 // Core drives one balancer.
@@ -149,6 +151,7 @@
 	branches slots.Table[*branch]
 	hops     map[brain.WorkerID]*hop
 	ids      map[string]brain.WorkerID
+	bans     bans
 	waiting  int // transactions without their final answer
 	queue    []func()
 	busy     bool
@@ -157,7 +160,7 @@
 // New makes a core with settings that are its own.
 func New(set brain.Settings, seed uint64, clock Clock, dir Directory, log logrus.FieldLogger) (*Core, error) {
 	c := &Core{set: set, clock: clock, dir: dir, log: log, open: map[brain.RequestID]*transaction{},
-		hops: map[brain.WorkerID]*hop{}, ids: map[string]brain.WorkerID{}}
+		hops: map[brain.WorkerID]*hop{}, ids: map[string]brain.WorkerID{}, bans: newBans()}
 	var err error
 	c.bal, err = brain.New(set, seed, actions{c})
 	return c, err
@@ -338,8 +341,10 @@
 			h.NextHop = e.Hop
 		}
 		h.gone = e.State == brain.Removed
-		list = append(list, brain.Worker{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State,
-			Size: e.Size, Since: e.Since, Labels: e.Labels})
+		h.listed = brain.Worker{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State,
+			Size: e.Size, Since: e.Since, Labels: e.Labels}
+		c.bans.listed(e.Name)
+		list = append(list, c.bans.over(e.Name, h.listed))
 	}
 	for id, h := range c.hops {
 		if (kind == brain.Whole || kind == brain.Cached) && !named[id] {
