Count what the node does, and drain by one state machine with a way back

Operators read figures that must be true at every moment, and send a node's clients away and back.

Each thing is counted where it happens: answers at the clients' connections, attempts when the kernel has the whole of one. Not taken: counting in the module, which does not see what is sent.

Stand-by and SIGTERM go through one machine without clock or socket (serving, steering away, closing); only stand-by has a way back. Connections of next hops that call back are not clients' and stay; an idle connection is not closed over bytes that the kernel holds unread. Not taken: a second path beside SIGTERM's, as the two must have one end where they meet.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -76,6 +76,9 @@
 	timer    *Timer        // by which the message must be whole
 	counted  int           // what the listener counts for its buffer
 
+	// Sent, where it is set, is called once when the kernel has taken all that was written.
+	Sent func()
+
 	connecting, closed, closing bool
 	events                      uint32
 	lost                        int // output that the kernel had not taken at the end
@@ -153,7 +156,11 @@
 func (c *Conn) mind() {
 	if c.from != nil && c.timer == nil && !c.closed {
 		c.began = c.loop.Now()
-		c.timer = c.loop.At(c.began+wholeBy, c.overdue)
+		by := wholeBy
+		if c.from.limits.Patience > 0 {
+			by = c.from.limits.Patience
+		}
+		c.timer = c.loop.At(c.began+by, c.overdue)
 	}
 }
 
@@ -209,6 +216,24 @@
 	c.buf = append(c.buf, p...)
 	c.count()
 	c.update()
+	c.sent()
+}
+
+func (c *Conn) sent() {
+	if f := c.Sent; f != nil && c.Unsent() == 0 && !c.connecting && !c.closed {
+		c.Sent = nil
+		f()
+	}
+}
+
+// Pending says that input has come which has not been used, read or unread.
+func (c *Conn) Pending() bool {
+	if c.closed || c.mid > 0 {
+		return c.mid > 0
+	}
+	var one [1]byte
+	n, _, _ := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0
 }
 
 // Stale looks whether a connection that should be idle has ended, or holds
@@ -308,6 +333,7 @@
 	}
 	c.buf = c.buf[:c.mid+copy(c.buf[c.mid:], c.buf[c.mid+n:])]
 	c.update()
+	c.sent()
 	if c.closing && c.Unsent() == 0 {
 		c.linger()
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -177,6 +177,8 @@
 type Limits struct {
 	Connections int // held at a time
 	Bytes       int // of their buffers
+
+	Patience time.Duration // for a message to come whole; 0: as for clients
 }
 
 // Listener accepts connections.
@@ -198,8 +200,12 @@
 	if err != nil {
 		return nil, err
 	}
-	// A restart must not wait for the connections of the process before it.
+	// A restart must not wait for the connections of the process before it, nor the one
+	// that takes this one's place for its end.
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
 	if err == nil {
 		err = unix.Bind(fd, addr)
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name      string            `json:"name"`
 	Listen    string            `json:"listen"`
+	Admin     string            `json:"admin_addr"` // where operators call; empty: nowhere
 	Discovery string            `json:"discovery"`
 	Seed      string            `json:"seed"`
 	Limits    Limits            `json:"limits"`
@@ -47,7 +48,7 @@
 	}
 	c.written = c.Discovery
 	for name, to := range map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen,
-		"BALANCER_DISCOVERY": &c.Discovery} {
+		"BALANCER_DISCOVERY": &c.Discovery, "BALANCER_ADMIN_ADDR": &c.Admin} {
 		if v := os.Getenv(name); v != "" {
 			*to = v
 		}
@@ -94,6 +95,14 @@
 	if at, err := netip.ParseAddrPort(c.Discovery); err != nil || !at.Addr().Unmap().Is4() {
 		return fmt.Errorf("discovery: %q is not an IPv4 address and a port", c.Discovery)
 	}
+	if c.Admin != "" {
+		if at, err := netip.ParseAddrPort(c.Admin); err != nil || !at.Addr().Unmap().Is4() {
+			return fmt.Errorf("admin_addr: %q is not an IPv4 address and a port", c.Admin)
+		}
+		if c.Admin == c.Listen {
+			return fmt.Errorf("admin_addr: %q is the clients' address (listen), not one of its own", c.Admin)
+		}
+	}
 	_, err := c.Settings.Brain()
 	return err
 }
--- /dev/null
+++ b/internal/platform/drain.go
@@ -0,0 +1,89 @@
+package platform
+
+import (
+	"errors"
+	"time"
+
+	"moorstack/internal/drain"
+)
+
+var errNoHop = errors.New("no trip worker is known")
+
+// Ready is nil while the front is for more clients, or says why it is not.
+func (f *Front) Ready() error {
+	switch {
+	case f.drain.Ending():
+		return drain.ErrEnding
+	case f.drain.State() != drain.Serving:
+		return errors.New(f.drain.State().String())
+	case !f.core.Ready():
+		return errNoHop
+	}
+	return nil
+}
+
+// Standby sends the clients away until Active.
+func (f *Front) Standby() {
+	if f.drain.Standby(f.loop.Now()) {
+		f.log.Info("standing by: health says no, and clients are sent away")
+		f.steer()
+	}
+}
+
+// Active ends what Standby began. Nothing has to be undone: what is open stays open, and
+// health says yes from here on.
+func (f *Front) Active() error {
+	changed, err := f.drain.Active()
+	if changed {
+		f.log.Info("serving again")
+	}
+	return err
+}
+
+// Drain begins the end: what comes is still taken for a while and all that was
+// taken is finished; then done is called.
+func (f *Front) Drain(done func()) {
+	if !f.drain.End(f.loop.Now()) {
+		return
+	}
+	f.steer()
+	f.loop.At(f.drain.At(), func() { f.finish(done) })
+}
+
+// steer closes idle connections once the notice is over.
+func (f *Front) steer() {
+	f.loop.At(f.drain.At(), func() {
+		if f.drain.Due(f.loop.Now()) {
+			f.sweep()
+		}
+	})
+}
+
+// sweepEvery is how often connections are looked at while clients are sent away: some are
+// opened meanwhile and left idle, some held a request that was not read.
+const sweepEvery = 100 * time.Millisecond
+
+func (f *Front) sweep() {
+	if f.drain.State() != drain.Closing {
+		return
+	}
+	for c := range f.clients {
+		c.closeIfIdle()
+	}
+	f.loop.After(sweepEvery, f.sweep)
+}
+
+// finish waits for the last answers to be written. The listener stays open until
+// then: next hops call back on it.
+func (f *Front) finish(done func()) {
+	busy := f.core.Waiting() > 0
+	for c := range f.clients {
+		busy = busy || c.waits || c.conn.Unsent() > 0
+	}
+	if busy {
+		f.loop.After(10*time.Millisecond, func() { f.finish(done) })
+		return
+	}
+	f.listener.Close()
+	done()
+}
--- /dev/null
+++ b/internal/platform/figures.go
@@ -0,0 +1,22 @@
+package platform
+
+import "moorstack/internal/figures"
+
+// count is where the jobs of a class are counted. A rule may give a job a class that came
+// with a reload; where it gave none, the job was refused before it had one.
+func (f *Front) count(class int) *figures.Class {
+	for class >= len(f.counts.Classes) {
+		f.counts.Classes = append(f.counts.Classes, figures.Class{})
+	}
+	return &f.counts.Classes[max(class, 0)]
+}
+
+// Figures appends the figures of this moment, between two events, to dst.
+func (f *Front) Figures(dst []byte) []byte {
+	names := make([]string, len(f.cfg.Settings.Classes))
+	for i := range names {
+		names[i] = f.cfg.Settings.Classes[i].Name
+	}
+	return f.counts.Append(dst, names, figures.Now{Outstanding: f.core.Waiting(),
+		Discovered: f.core.Discovered(), Ejected: f.core.Ejected()})
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,8 @@
 
 	"moorstack/brain"
 	"moorstack/internal/core"
+	"moorstack/internal/drain"
+	"moorstack/internal/figures"
 	"moorstack/internal/net"
 	"moorstack/internal/routing"
 )
@@ -20,9 +22,6 @@
 const (
 	ready    = "/_health"
 	callBack = "/v1/job-events"
-
-	// notice is how long after SIGTERM new connections still come; see PROTOCOL.
-	notice = 500 * time.Millisecond
 )
 
 // Front is the platform's front.
@@ -35,8 +34,8 @@
 	listener *net.Listener
 	hops     map[string]*nextHop
 	clients  map[*client]struct{}
-	draining bool
-	closing  bool           // idle clients are closed
+	drain    drain.Drain
+	counts   figures.Counts
 	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
 	brokeAt  time.Duration // when a kept connection to a next hop last broke under a request
@@ -47,6 +46,7 @@
 	f := &Front{loop: loop, cfg: cfg, names: namesOf(&cfg.Settings), log: log, hops: map[string]*nextHop{},
 		clients: map[*client]struct{}{}}
 	f.brokeAt = -mistrust
+	f.counts.Classes = make([]figures.Class, len(cfg.Settings.Classes))
 	f.dir = &directory{front: f, generation: cfg.Known.Generation}
 	return f
 }
@@ -71,39 +71,8 @@
 // SetRoutes has jobs go by these rules, from the next one on; nil: by none.
 func (f *Front) SetRoutes(t *routing.Table) { f.routes = t }
 
-// Drain begins the end: what comes is still taken for a while and all that was
-// taken is finished; then done is called.
-func (f *Front) Drain(done func()) {
-	if f.draining {
-		return
-	}
-	f.draining = true
-	f.loop.After(notice, func() {
-		f.closing = true
-		for c := range f.clients {
-			c.closeIfIdle()
-		}
-		f.finish(done)
-	})
-}
-
-// finish waits for the last answers to be written. The listener stays open until
-// then: next hops call back on it.
-func (f *Front) finish(done func()) {
-	busy := f.core.Waiting() > 0
-	for c := range f.clients {
-		busy = busy || c.waits || c.conn.Unsent() > 0
-	}
-	if busy {
-		f.loop.After(10*time.Millisecond, func() { f.finish(done) })
-		return
-	}
-	f.listener.Close()
-	done()
-}
-
 func (f *Front) accept(c *net.Conn) {
-	cl := &client{front: f, conn: c}
+	cl := &client{front: f, conn: c, opened: f.loop.Now()}
 	f.clients[cl] = struct{}{}
 	c.H = cl
 }
@@ -114,10 +83,15 @@
 	conn  *net.Conn
 	in    net.Parser
 	id    string // of the transaction it waits for
+	class int    // its class
 	rule  string // by which it was routed, if by any
 	waits bool
 	last  bool // the connection closes after this answer
 	asked bool // a 100 has been sent for the request being read
+	hop   bool // it is a next hop's, which calls back on it
+
+	opened time.Duration
+	used   bool // a whole message has come on it
 }
 
 var _ net.Handler = (*client)(nil)
@@ -143,7 +117,8 @@
 			return
 		}
 		c.conn.Taken()
-		c.last = c.in.Close || c.front.draining
+		c.used = true
+		c.last = c.in.Close
 		m, body := c.in.Message, append([]byte(nil), c.in.Body(c.conn.In())...)
 		c.conn.Use(c.in.Size())
 		c.in.Next()
@@ -190,12 +165,13 @@
 	path, _, _ := strings.Cut(m.Target, "?")
 	switch {
 	case m.Method == "POST" && path == callBack:
+		c.hop = true
 		c.front.event(body)
 		// Whatever it names, it has been heard: else it would be repeated.
 		c.respond(204, "", nil)
 	case path == ready && m.Method == "GET":
 		c.last = true // it is asked seldom, but for those who mean to stay
-		if c.front.draining || !c.front.core.Ready() {
+		if c.front.Ready() != nil {
 			c.respond(503, "Retry-After: 1\r\n", nil)
 		} else {
 			c.respond(200, "", nil)
@@ -221,7 +197,10 @@
 	if d.Rule != nil {
 		c.rule = d.Rule.Name
 	}
+	c.class = t.Class
 	if err == nil && d.Refused != "" {
+		c.front.count(c.class).Declined++
+		c.leave()
 		c.busy(d.RetryAfter, d.Refused)
 		return
 	}
@@ -328,24 +307,25 @@
 // Answer writes the transaction's final answer.
 func (c *client) Answer(a core.Answer) {
 	c.waits = false
-	if c.front.draining {
-		c.last = true
-	}
-	switch a.Kind {
+	c.leave()
+	switch n := c.front.count(c.class); a.Kind {
 	case core.Served:
+		n.Succeeded++
 		c.respond(200, "", a.Result)
 	case core.Busy:
+		n.Declined++
 		why := ""
 		if c.rule != "" {
 			why = "no worker of rule " + c.rule
 		}
 		c.busy(a.RetryAfter, why)
 	default:
+		n.Aborted++
 		c.respond(502, "", nil)
 	}
 	// The next request may be waiting in the buffer. It must not begin within this call.
 	c.front.loop.After(0, func() {
-		if c.front.closing {
+		if c.front.drain.State() == drain.Closing {
 			c.closeIfIdle()
 		}
 		c.Data(c.conn)
@@ -364,9 +344,16 @@
 	c.respond(503, extra, nil)
 }
 
-// closeIfIdle closes a connection that stands between two requests.
+// leave has the connection end after the answer that comes now, if clients are sent away.
+func (c *client) leave() { c.last = c.last || c.front.drain.State() == drain.Closing }
+
+// closeIfIdle closes a client's connection that stands between two requests. Hazard: a
+// request that has come and was not read is in the kernel's buffer, and would be lost.
 func (c *client) closeIfIdle() {
-	if !c.waits && c.conn.Unsent() == 0 && len(c.conn.In()) == 0 && !c.conn.Closed() {
+	if !c.used && c.front.loop.Now() < c.opened+drain.Notice {
+		return // its first request is on its way
+	}
+	if !c.waits && !c.hop && c.conn.Unsent() == 0 && !c.conn.Closed() && !c.conn.Pending() {
 		c.conn.Finish()
 		c.gone()
 	}
@@ -376,6 +363,7 @@
 func (c *client) Ended(*net.Conn, error) {
 	if c.gone(); c.waits {
 		c.waits = false
+		c.front.counts.Left++
 		c.front.core.Gone(c.id)
 	}
 }
--- a/internal/platform/nexthop.go
+++ b/internal/platform/nexthop.go
@@ -59,8 +59,9 @@
 var _ net.Handler = (*exchange)(nil)
 
 // send writes a request on an idle connection or, if it must be fresh or there is none,
-// on a new one.
-func (h *nextHop) send(request []byte, fresh bool, done func(*net.Message, []byte, bool)) *exchange {
+// on a new one. An attempt is counted once the kernel has the whole of it.
+func (h *nextHop) send(request []byte, fresh, attempt bool,
+	done func(*net.Message, []byte, bool)) *exchange {
 	var x *exchange
 	for !fresh && len(h.idle) > 0 && x == nil {
 		last := len(h.idle) - 1
@@ -87,6 +88,9 @@
 		x.kept = true
 	}
 	x.busy, x.done = true, done
+	if x.conn.Sent = nil; attempt {
+		x.conn.Sent = func() { h.front.counts.Forwards++ }
+	}
 	x.conn.Write(request)
 	return x
 }
@@ -96,9 +100,9 @@
 // ends the call without telling.
 func (h *nextHop) ask(request []byte, done func(*net.Message, []byte, bool)) (end func()) {
 	var x *exchange
-	x = h.send(request, false, func(m *net.Message, body []byte, unsent bool) {
+	x = h.send(request, false, false, func(m *net.Message, body []byte, unsent bool) {
 		if m == nil && x != nil && x.kept && x.broke {
-			x = h.send(request, true, done)
+			x = h.send(request, true, false, done)
 			return
 		}
 		done(m, body, unsent)
@@ -248,7 +252,8 @@
 		extra += "Idempotency-Key: " + j.key + "\r\n"
 	}
 	br := &branch{hop: h, job: b.Name}
-	br.x = h.send(net.AppendRequest(nil, "POST", j.target, h.address, extra, j.body), h.front.mistrusts(),
+	request := net.AppendRequest(nil, "POST", j.target, h.address, extra, j.body)
+	br.x = h.send(request, h.front.mistrusts(), true,
 		func(m *net.Message, body []byte, unsent bool) {
 			br.timer.Stop()
 			if m != nil && m.Status == 202 {
