Answer the operators' calls at a second address

The calls are read and answered on the node's own loop, in the turn in which they take hold, with eight descriptors of their own: a silent caller gives way to a new one. Not taken: a goroutine with a lock, which can see half an event.

Tested with real processes: cut, endless and wrong calls beside silent callers; figures against the stand-ins' counts; a ban over five kinds of news; stand-by, back, and SIGTERM meanwhile.

--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,57 @@
+package admin
+
+import (
+	"bytes"
+	"time"
+
+	"moorstack/internal/net"
+)
+
+// Limits are what callers may take of the node's descriptors. They are no part of what
+// clients may take, nor the other way round.
+//
+// Hazard: callers that connect and say nothing keep out those who have something to say.
+// The oldest silent one gives way to a new one.
+const (
+	Connections = 8
+	held        = Connections * 4096 // bytes of their buffers
+	patience    = 6 * time.Second    // for a call to come whole
+)
+
+// Listen opens the second address for a node.
+func Listen(loop *net.Loop, address string, n Node) (*net.Listener, error) {
+	limits := net.Limits{Connections: Connections, Bytes: held, Patience: patience}
+	return loop.Listen(address, limits, func(c *net.Conn) { c.H = &caller{node: n} })
+}
+
+// caller is a connection to the second address.
+type caller struct {
+	node Node
+	done bool
+}
+
+var _ net.Handler = (*caller)(nil)
+
+func (*caller) Up(*net.Conn)           {}
+func (*caller) Ended(*net.Conn, error) {}
+
+// Data answers once the line has come whole, in however many pieces, and closes.
+func (c *caller) Data(conn *net.Conn) {
+	if c.done {
+		return
+	}
+	line, _, whole := bytes.Cut(conn.In(), []byte("\n"))
+	var answer []byte
+	switch {
+	case len(line) > MaxLine: // hazard: a line without end is read for ever
+		answer = append(append([]byte("NAK "), errLong.Error()...), '\n')
+	case !whole:
+		return
+	default:
+		answer = Answer(nil, bytes.TrimSuffix(line, []byte("\r")), c.node)
+	}
+	c.done = true
+	conn.Taken()
+	conn.Write(answer)
+	conn.Finish()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"moorstack/brain"
+	"moorstack/internal/admin"
 	"moorstack/internal/core"
 	"moorstack/internal/faktory"
 	"moorstack/internal/net"
@@ -106,6 +107,11 @@
 		}
 		n.drain = func(done func()) { other.Drain(func() { n.front.Drain(done) }) }
 	}
+	if cfg.Admin != "" {
+		if _, err := admin.Listen(loop, cfg.Admin, operators{n}); err != nil {
+			return nil, fmt.Errorf("the second address (admin_addr): %w", err)
+		}
+	}
 	o.Log.WithField("listen", cfg.Listen).Info("serving")
 	return n, nil
 }
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"moorstack/internal/admin"
+	"moorstack/internal/core"
+)
+
+// operators is the node as those see it who call at the second address.
+type operators struct{ *Node }
+
+var _ admin.Node = operators{}
+
+func (o operators) Ready() error              { return o.front.Ready() }
+func (o operators) Figures(dst []byte) []byte { return o.front.Figures(dst) }
+
+// Ban takes a next hop out at all cores, whichever front it belongs to.
+func (o operators) Ban(id string) error {
+	if err := o.listed(id); err != nil {
+		return err
+	}
+	for _, c := range o.cores {
+		c.Ban(id)
+	}
+	o.log.WithField("worker", id).Info("taken out by an operator")
+	return nil
+}
+
+// Unban puts it back. Put back when it was not out is a yes, and changes nothing.
+func (o operators) Unban(id string) error {
+	if err := o.listed(id); err != nil {
+		return err
+	}
+	was := false
+	for _, c := range o.cores {
+		was = c.Unban(id) || was
+	}
+	if was {
+		o.log.WithField("worker", id).Info("put back by an operator")
+	}
+	return nil
+}
+
+func (o operators) listed(id string) error {
+	for _, c := range o.cores {
+		if c.Listed(id) {
+			return nil
+		}
+	}
+	return core.ErrUnlisted
+}
+
+func (o operators) Standby() error {
+	o.front.Standby()
+	return nil
+}
+
+func (o operators) Active() error { return o.front.Active() }
