Let a dispatcher's memory pass to the process that takes its place

The module gives its averages and its record of each worker as values, and recalls them after the first list. Not taken: replaying events, which needs a log of them at every node for a moment that comes once a release.

What the old process has unfinished is told apart from jobs of others, and as it ends.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -232,7 +232,7 @@
 // held is the slots' worth of unfinished jobs at w: this dispatcher's own and others', or as many as
 // the wait that our jobs have met there takes.
 func (b *Balancer) held(now time.Duration, w *worker) float64 {
-	n := w.own + max(0, w.others)
+	n := w.own + w.beside + max(0, w.others)
 	if wait := b.seenWait(now, w); wait > 0 && b.mean > 0 {
 		n = max(n, b.slotsOf(w)*(1+wait/b.mean/b.paceOf(now, w)))
 	}
@@ -328,7 +328,7 @@
 	if b.blind {
 		weight = 1 // what was known before is long past
 	}
-	w.others += weight * (held - w.own - w.others)
+	w.others += weight * (held - w.own - w.beside - w.others)
 }
 
 // worthIt decides whether q joins the queue at w or is refused, by the wait to be expected there.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -1225,3 +1226,64 @@
 		}
 	}
 }
+
+// A process that takes another's place knows what that one spent on a cold worker, which
+// workers fail, and what is out.
+func TestMemoryPassesOn(t *testing.T) {
+	set := testSettings()
+	first := newRecorder(t, set)
+	list := fleet(3)
+	first.members(Whole, list...)
+	for i := range 200 {
+		first.now += 20 * time.Millisecond
+		first.request(job(i, safeClass))
+		if s := first.last(); s.w == list[0].ID {
+			first.end(s, Error)
+			first.now += time.Millisecond
+			continue
+		}
+		first.end(first.last(), OK)
+	}
+	cold := list[2]
+	cold.Since = first.now
+	first.members(Changes, cold)
+	first.b.byID[cold.ID].sent = []load{{first.now, 7}}
+	for range 3 {
+		first.b.fails(first.now, first.b.byID[list[0].ID])
+	}
+	first.request(job(1000, safeClass))
+
+	raw, err := json.Marshal(first.b.Memory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(raw, &m); err != nil {
+		t.Fatal(err)
+	}
+	second := newSeeded(t, set, 2)
+	second.now = first.now
+	second.members(Cached, list[0], list[1], cold)
+	second.b.Recall(m)
+	if w := second.b.byID[cold.ID]; len(w.sent) != 1 || w.sent[0].work != 7 {
+		t.Errorf("what was spent on the cold worker: %v", w.sent)
+	}
+	if second.b.illness(second.now, second.b.byID[list[0].ID]) < suspect {
+		t.Error("the failing worker is trusted")
+	}
+	out := 0.0
+	for id, n := range first.b.Held() {
+		second.b.Beside(id, n)
+		out += second.b.held(second.now, second.b.byID[id])
+	}
+	if out != 1 || second.b.mean != first.b.mean || second.b.ratio != first.b.ratio {
+		t.Errorf("%v jobs are out, the usual time is %v, was %v", out, second.b.mean, first.b.mean)
+	}
+	for id := range first.b.Held() { // and they end
+		second.b.Beside(id, 0)
+		if n := second.b.held(second.now, second.b.byID[id]); n != 0 {
+			t.Errorf("%v jobs are out of a process that has none", n)
+		}
+	}
+	second.b.Recall(Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
+}
--- /dev/null
+++ b/brain/memory.go
@@ -0,0 +1,128 @@
+package brain
+
+// What one process of a dispatcher can tell the one that takes its place.
+
+import "time"
+
+// Memory is what a dispatcher has learned. It holds no request.
+type Memory struct {
+	Loads, Tallies       [][2]float64
+	Slots, Paces, Usual  []float64
+	Mean, Ratio, Arrived float64
+	Watched, Wait, Crowd float64
+	WaitT, Surveyed      time.Duration
+	Allowances           []Allowed
+	Workers              map[WorkerID]WorkerMemory
+}
+
+// Allowed is what a tenant may still send, and has asked for.
+type Allowed struct {
+	Left, Asked float64
+	At          time.Duration
+}
+
+// WorkerMemory is what it believes of a worker.
+type WorkerMemory struct {
+	Others, Pace, Wait, Ill float64
+	WaitT, IllT             time.Duration
+	Since                   time.Duration // of the start that Sent was sent to
+	Sent                    []Spent       // to a cold worker
+	Owed                    bool
+}
+
+// Spent is work sent to a cold worker.
+type Spent struct {
+	At   time.Duration
+	Work float64
+}
+
+// Memory gives what the dispatcher has learned. Its unfinished jobs are not in it: they
+// end one by one, and whoever recalls this is told of them by Beside.
+func (b *Balancer) Memory() Memory {
+	m := Memory{Slots: b.slots, Paces: b.paces, Usual: b.usual, Mean: b.mean, Ratio: b.ratio,
+		Arrived: b.arrived, Watched: b.watched, Wait: b.wait, Crowd: b.crowd, WaitT: b.waitT,
+		Surveyed: b.surveyed, Workers: make(map[WorkerID]WorkerMemory, len(b.workers))}
+	for _, l := range b.loads {
+		m.Loads = append(m.Loads, [2]float64{l.work, l.seconds})
+	}
+	for _, t := range b.tallies {
+		m.Tallies = append(m.Tallies, [2]float64{t.asked, t.served})
+	}
+	for _, t := range b.tenants {
+		m.Allowances = append(m.Allowances, Allowed{t.left, t.asked, t.at})
+	}
+	for _, w := range b.workers {
+		k := WorkerMemory{Others: w.others, Pace: w.pace, Wait: w.wait, Ill: w.ill,
+			WaitT: w.waitT, IllT: w.illT, Since: w.Since, Owed: w.owed}
+		for _, l := range w.sent {
+			k.Sent = append(k.Sent, Spent{l.at, l.work})
+		}
+		m.Workers[w.ID] = k
+	}
+	return m
+}
+
+// Recall takes over what another process of this dispatcher has learned, after Members
+// and before any request. What does not fit these settings is left out.
+//
+// Hazard: a dispatcher that starts with nothing does not know what was just spent on cold
+// workers, nor which ones fail.
+func (b *Balancer) Recall(m Memory) {
+	if len(m.Loads) == len(b.loads) && len(m.Slots) == len(b.slots) && len(m.Paces) == len(b.paces) {
+		for i, l := range m.Loads {
+			b.loads[i] = kindLoad{l[0], l[1]}
+		}
+		copy(b.slots, m.Slots)
+		copy(b.paces, m.Paces)
+	}
+	if len(m.Usual) == len(b.usual) && len(m.Tallies) == len(b.tallies) && m.Ratio > 0 {
+		copy(b.usual, m.Usual)
+		for i, t := range m.Tallies {
+			b.tallies[i] = tally{t[0], t[1]}
+		}
+		b.mean, b.ratio, b.arrived, b.watched = m.Mean, m.Ratio, m.Arrived, m.Watched
+		b.wait, b.waitT, b.crowd, b.surveyed = m.Wait, m.WaitT, m.Crowd, m.Surveyed
+	}
+	if len(m.Allowances) == len(b.tenants) {
+		for i, a := range m.Allowances {
+			b.tenants[i] = allowance{left: a.Left, at: a.At, asked: a.Asked}
+		}
+	}
+	for _, w := range b.workers {
+		k, ok := m.Workers[w.ID]
+		if !ok || k.Pace <= 0 {
+			continue
+		}
+		w.others, w.pace, w.wait, w.waitT, w.ill, w.illT = k.Others, k.Pace, k.Wait, k.WaitT, k.Ill, k.IllT
+		if k.Owed {
+			b.Owe(w.ID)
+		}
+		if w.Since == k.Since {
+			for _, s := range k.Sent {
+				w.sent = append(w.sent, load{s.At, s.Work})
+			}
+		}
+	}
+}
+
+// Held gives, by worker, what the dispatcher has unfinished there.
+func (b *Balancer) Held() map[WorkerID]float64 {
+	held := map[WorkerID]float64{}
+	for _, w := range b.workers {
+		if w.own > 0 {
+			held[w.ID] = w.own
+		}
+	}
+	return held
+}
+
+// Beside tells what another process of this dispatcher, whose memory it recalled, has
+// unfinished at a worker.
+//
+// Hazard: taken as jobs of unknown others they fade only as reports come, while this
+// process's own rise in their place: workers look full, and jobs are refused.
+func (b *Balancer) Beside(id WorkerID, held float64) {
+	if w := b.byID[id]; w != nil {
+		w.beside = held
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -29,6 +29,7 @@
 	Worker
 	own    float64       // this dispatcher's unfinished jobs there
 	sent   []load        // what it was sent lately while cold
+	beside float64       // those of a process whose place this one has taken
 	others float64       // unfinished jobs of other dispatchers there, as reports tell
 	pace   float64       // its running times over those of its kind
 	wait   float64       // seconds that the last job to start there had waited
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -271,11 +271,11 @@
 	return false
 }
 
-// Progress tells how a branch that is out goes on.
-func (c *Core) Progress(id, name string, started bool, share float64) {
+// Progress tells how a branch that is out goes on, if the transaction has one there.
+func (c *Core) Progress(id, name string, started bool, share float64) bool {
 	t := c.open[brain.RequestID(id)]
 	if t == nil {
-		return
+		return false
 	}
 	for _, b := range t.branches {
 		if !b.ended && b.hop.name == name {
@@ -283,9 +283,10 @@
 				c.bal.Progress(c.clock.Now(), brain.Note{ID: brain.RequestID(id), Attempt: b.n,
 					Worker: b.hop.id, Started: started, Done: share})
 			})
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (c *Core) end(b *branch, res brain.Result, result []byte, report brain.Report) {
