Share a listening socket with another process, and hand a node's clients over

Two processes of one node serve at one address for a while. Closing a socket of one's own resets what waits in its queue; so the socket itself is passed on, and there is one queue. Its epoll entry is taken out by hand, as it outlives the descriptor while the other has the socket.

The drain's machine knows a third reason, a hand-over, that ends with the successor.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -4,8 +4,9 @@
 // clock and no socket.
 //
 //	serving --Standby, End--> steering --Due--> closing --Active--> serving
-//	                             |                 |
-//	                             +----Active-------+   (not once it is to end)
+//	   |                         |                 |
+//	   |                         +----Active-------+   (not once it is to end)
+//	   +------Hand--> closing --TakeBack--> serving, or whatever was before
 //
 // Steering: health says no; jobs are taken as ever, until those who ask after its health
 // have noticed. Closing: answers carry Connection: close, and idle connections of clients
@@ -34,6 +35,9 @@
 // 0.4 s.
 const Notice = 500 * time.Millisecond
 
+// ErrHanded is the answer to who would have a process serve whose place another has taken.
+var ErrHanded = errors.New("another process has taken this one's place")
+
 // ErrEnding is the answer to who would end a drain that has no way back.
 var ErrEnding = errors.New("the process is to end, and does not serve again")
 
@@ -41,17 +45,26 @@
 type Drain struct {
 	state  State
 	ending bool
+	handed bool
+	before State         // that Hand found
 	due    time.Duration // of the end of Steering
 }
 
 // State is where the node stands.
 func (d *Drain) State() State { return d.state }
 
+// Handed says that another process has taken this one's place.
+func (d *Drain) Handed() bool { return d.handed }
+
 // Ending says that there is no way back.
 func (d *Drain) Ending() bool { return d.ending }
 
 // Standby begins a drain that Active can end. It reports whether this changed anything.
 func (d *Drain) Standby(now time.Duration) bool {
+	if d.handed {
+		d.before = Closing // should this process serve again, it stands by
+		return false
+	}
 	if d.state != Serving {
 		return false // twice is once, and an end goes before a stand-by
 	}
@@ -64,15 +77,39 @@
 func (d *Drain) End(now time.Duration) bool {
 	first := !d.ending
 	d.ending = true
-	d.Standby(now)
+	if d.Standby(now); d.state == Closing {
+		d.due = now
+	}
 	return first
 }
 
+// Hand has another process take this one's place: its clients are to be away at once, for
+// those that come are the other's.
+func (d *Drain) Hand() {
+	if !d.handed {
+		d.before, d.handed = d.state, true
+		d.state = Closing
+	}
+}
+
+// TakeBack ends that: the other process is gone.
+func (d *Drain) TakeBack() {
+	if d.handed {
+		d.handed = false
+		if !d.ending {
+			d.state = d.before
+		}
+	}
+}
+
 // Active ends a drain, unless the process is to end. It reports whether this changed anything.
 func (d *Drain) Active() (bool, error) {
 	if d.ending {
 		return false, ErrEnding
 	}
+	if d.handed {
+		return false, ErrHanded
+	}
 	changed := d.state != Serving
 	d.state = Serving
 	return changed, nil
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -117,6 +117,33 @@
 	return c, nil
 }
 
+// Adopt takes over a connected stream that was made elsewhere.
+func (l *Loop) Adopt(fd int, h Handler) (*Conn, error) {
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, err
+	}
+	c, err := l.adopt(fd, false)
+	if err != nil {
+		return nil, err
+	}
+	c.H = h
+	return c, nil
+}
+
+// WriteFDs sends p with descriptors, which the peer gets as its own. The connection must
+// be a Unix socket on which no output waits.
+func (c *Conn) WriteFDs(p []byte, fds ...int) error {
+	if c.closed || c.Unsent() > 0 {
+		return errors.New("the connection can't take descriptors now")
+	}
+	n, err := unix.SendmsgN(c.fd, p, unix.UnixRights(fds...), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	if err != nil {
+		return err
+	}
+	c.Write(p[n:])
+	return nil
+}
+
 // In is the unread input; it is good until the next Write, Use or return to the loop.
 func (c *Conn) In() []byte { return c.buf[:c.mid] }
 
@@ -176,7 +203,7 @@
 // count keeps the listener's count of the room that its connections take.
 func (c *Conn) count() {
 	if c.from != nil {
-		c.from.held += cap(c.buf) - c.counted
+		c.from.bytes += cap(c.buf) - c.counted
 		c.counted = cap(c.buf)
 	}
 }
@@ -259,7 +286,7 @@
 	c.timer.Stop()
 	if ln := c.from; ln != nil {
 		ln.open--
-		ln.held -= c.counted
+		ln.bytes -= c.counted
 		ln.pause(false)
 	}
 }
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -179,6 +179,7 @@
 	Bytes       int // of their buffers
 
 	Patience time.Duration // for a message to come whole; 0: as for clients
+	Share    bool          // another process may listen at the same address
 }
 
 // Listener accepts connections.
@@ -188,8 +189,9 @@
 	id     slots.ID
 	limits Limits
 	open   int
-	held   int // bytes
+	bytes  int // of its connections' buffers
 	paused bool
+	held   bool // paused for good, until Hold says otherwise
 	accept func(*Conn)
 }
 
@@ -200,10 +202,11 @@
 	if err != nil {
 		return nil, err
 	}
-	// A restart must not wait for the connections of the process before it, nor the one
-	// that takes this one's place for its end.
+	// A restart must not wait for the connections of the process before it, nor a process
+	// that takes this one's place for its end. Hazard: without need, two nodes that were
+	// given one address by mistake would share its clients in silence.
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err == nil {
+	if err == nil && limits.Share {
 		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
 	}
 	if err == nil {
@@ -212,18 +215,42 @@
 	if err == nil {
 		err = unix.Listen(fd, 1024)
 	}
-	ln := &Listener{loop: l, fd: fd, limits: limits, accept: accept}
-	if err == nil {
-		ln.id, err = l.watch(fd, unix.EPOLLIN, ln)
-	}
 	if err != nil {
 		unix.Close(fd)
 		return nil, fmt.Errorf("listening on %s: %w", address, err)
 	}
+	return l.ListenOn(fd, limits, accept)
+}
+
+// ListenOn accepts on a socket that listens already, and owns it from here on.
+func (l *Loop) ListenOn(fd int, limits Limits, accept func(*Conn)) (*Listener, error) {
+	ln := &Listener{loop: l, fd: fd, limits: limits, accept: accept}
+	var err error
+	if ln.id, err = l.watch(fd, unix.EPOLLIN, ln); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
 	l.inlets = append(l.inlets, ln)
 	return ln, nil
 }
 
+// FD is the listening socket, to be given to another process.
+func (ln *Listener) FD() int { return ln.fd }
+
+// Hold has connections wait with the kernel, for whoever else listens on the same socket,
+// or no longer.
+func (ln *Listener) Hold(on bool) {
+	ln.held = false
+	ln.pause(on)
+	ln.held = on
+}
+
+// Limit sets new limits; what is held beyond them stays.
+func (ln *Listener) Limit(limits Limits) {
+	ln.limits = limits
+	ln.pause(false)
+}
+
 // Open is the number of connections held.
 func (ln *Listener) Open() int { return ln.open }
 
@@ -266,7 +293,7 @@
 
 // fit makes room for so many bytes, if need be at the cost of other connections.
 func (ln *Listener) fit(bytes int, but *Conn) bool {
-	for ln.held+bytes > ln.limits.Bytes {
+	for ln.bytes+bytes > ln.limits.Bytes {
 		if !ln.shed(but) {
 			return false
 		}
@@ -320,7 +347,7 @@
 }
 
 func (ln *Listener) pause(on bool) {
-	if ln.paused == on || ln.fd < 0 {
+	if ln.paused == on || ln.held || ln.fd < 0 {
 		return
 	}
 	ln.paused = on
@@ -335,6 +362,9 @@
 func (ln *Listener) Close() {
 	if ln.fd >= 0 {
 		ln.loop.sources.Remove(ln.id)
+		// Hazard: where another process has the socket too, closing ours doesn't take it out
+		// of the epoll set, which would report it for ever.
+		_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_DEL, ln.fd, nil)
 		unix.Close(ln.fd)
 		ln.fd = -1
 	}
