Replace the process while the node serves, with no job lost

The new process asks at a Unix socket in TMPDIR for the old one's state and listening socket, serves, and the old one lets go: health no, idle connections closed, answers with a close. A call-back that the wrong one of the two accepts is passed on, and answered once the other has it. Memory and descriptors are halved meanwhile. The new one says yes when the old one has no client left or after 3.5 s of the platform's 6, for SIGKILL follows 3.7 s after that and some jobs run for longer. Not taken: a yes at once.

Tests with real processes: replaced twice under load with no job lost or run twice; the new one killed at three seeded moments; the old one killed after; seven strangers at the meeting place.

--- /dev/null
+++ b/cmd/moorstack/upgrade_test.go
@@ -0,0 +1,323 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// upgraded is a world whose node is replaced while clients go on.
+type upgraded struct {
+	*operated
+	rng    *rand.Rand
+	killed bool // processes are killed, and what they had is lost
+	stop   chan struct{}
+	people sync.WaitGroup
+	number atomic.Int64
+	resent atomic.Int64 // requests that met a connection which was closed unread
+	lost   atomic.Int64 // requests without an answer
+	served atomic.Int64
+	wrong  atomic.Value
+}
+
+// newUpgraded logs its seed; SEED in the environment repeats a run.
+func newUpgraded(t *testing.T, hops int) *upgraded {
+	seed := uint64(time.Now().UnixNano())
+	if s := os.Getenv("SEED"); s != "" {
+		_, err := fmt.Sscan(s, &seed)
+		check(t, err)
+	}
+	t.Logf("SEED=%d", seed)
+	// Longer than a Unix address, as a platform's may be.
+	dir := filepath.Join(t.TempDir(), strings.Repeat("d", 100))
+	check(t, os.Mkdir(dir, 0o700))
+	t.Setenv("TMPDIR", dir)
+	u := &upgraded{rng: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{})}
+	var mu sync.Mutex
+	jitter := rand.New(rand.NewPCG(seed, 1))
+	u.operated = newOperated(t, hops, func(_ int, s seen, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		mu.Lock()
+		takes := time.Duration(jitter.IntN(250)) * time.Millisecond
+		mu.Unlock()
+		go func() {
+			time.Sleep(takes)
+			for range 10 { // as the protocol has it
+				if status := s.hop.w.callBack(s.id, s.hop.name, "done", "did "+s.body); status == 204 {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+	})
+	t.Cleanup(u.end)
+	return u
+}
+
+func (u *upgraded) end() {
+	select {
+	case <-u.stop:
+	default:
+		close(u.stop)
+	}
+	u.people.Wait()
+}
+
+// clients keep their connections and have one job each at a time.
+func (u *upgraded) clients(n int) {
+	for range n {
+		u.people.Add(1)
+		go func() {
+			defer u.people.Done()
+			var c net.Conn
+			for {
+				select {
+				case <-u.stop:
+					if c != nil {
+						c.Close()
+					}
+					return
+				default:
+					c = u.ask(c)
+				}
+			}
+		}()
+	}
+}
+
+// ask has one job done on a connection, or on a new one, and returns what may be used again.
+func (u *upgraded) ask(c net.Conn) net.Conn {
+	id := fmt.Sprint("u", u.number.Add(1))
+	for try := 0; ; try++ {
+		kept := c != nil
+		if !kept {
+			var err error
+			if c, err = net.Dial("tcp", u.addr); err != nil {
+				u.lost.Add(1)
+				time.Sleep(10 * time.Millisecond)
+				return nil
+			}
+		}
+		_ = c.SetDeadline(time.Now().Add(limit))
+		_, err := io.WriteString(c, job(id, "book", "5000m", id))
+		r := bufio.NewReader(c)
+		if err == nil {
+			_, err = r.Peek(1)
+		}
+		if err != nil {
+			c.Close()
+			if c = nil; kept && try == 0 {
+				u.resent.Add(1) // between requests a node may close a connection
+				if u.killed {
+					id += "-again" // the first may have run
+				}
+				continue
+			}
+			u.lost.Add(1)
+			return nil
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			c.Close()
+			u.lost.Add(1)
+			return nil
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != 200 || string(body) != "did "+id {
+			u.wrong.Store(fmt.Sprintf("%s was answered %d %q, %v", id, resp.StatusCode, body, err))
+			c.Close()
+			return nil
+		}
+		u.served.Add(1)
+		if resp.Close {
+			c.Close()
+			return nil
+		}
+		return c
+	}
+}
+
+// start starts one more process of the node, with a second address of its own.
+func (u *upgraded) start() (cmd *exec.Cmd, admin string) {
+	u.t.Helper()
+	admin = freeAddress(u.t)
+	cmd = exec.Command(program)
+	cmd.Env = append(append([]string{}, u.cmd.Env...), "BALANCER_ADMIN_ADDR="+admin)
+	cmd.Stderr = os.Stderr
+	check(u.t, cmd.Start())
+	u.t.Cleanup(func() {
+		if cmd.ProcessState == nil {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+	})
+	return cmd, admin
+}
+
+func ready(admin string) bool {
+	c, err := net.Dial("tcp", admin)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = io.WriteString(c, "status\n")
+	answer, _ := io.ReadAll(c)
+	return strings.HasPrefix(string(answer), "ACK")
+}
+
+func (u *upgraded) pause(most int) {
+	time.Sleep(time.Duration(u.rng.IntN(most)) * time.Millisecond)
+}
+
+// audit looks at each job that the workers got: none ran twice.
+func (u *upgraded) audit() {
+	u.t.Helper()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	ran := map[string]int{}
+	for _, h := range u.hops {
+		for _, s := range h.got {
+			if s.method == "POST" {
+				if ran[s.id]++; ran[s.id] > 1 {
+					u.t.Errorf("%s ran %d times", s.id, ran[s.id])
+				}
+			}
+		}
+	}
+	if w := u.wrong.Load(); w != nil {
+		u.t.Error(w)
+	}
+}
+
+// One process takes the other's place under load: every client has its one answer, no
+// connection is refused or reset, no job runs twice, a ban holds on, and so twice over.
+func TestUpgrade(t *testing.T) {
+	u := newUpgraded(t, 3)
+	out := u.hops[2]
+	u.want("ACK", "maint-on "+out.name+"\n")
+	banned := out.calls()
+	u.clients(40)
+	for range 2 {
+		u.pause(400)
+		old := u.cmd
+		cmd, admin := u.start()
+		eventually(t, "the new process is ready", func() bool { return ready(admin) })
+		if ready(u.admin) {
+			t.Error("both processes are ready")
+		}
+		u.pause(100)
+		check(t, old.Process.Signal(syscall.SIGTERM))
+		check(t, old.Wait())
+		u.cmd, u.admin = cmd, admin
+	}
+	before := u.served.Load()
+	eventually(t, "it serves on", func() bool { return u.served.Load() > before+100 })
+	if s := u.stats(); s.Ejected != 1 || s.Discovered != 3 {
+		t.Errorf("the new process's figures: %+v", s)
+	}
+	u.end()
+	if u.lost.Load() > 0 || out.calls() != banned {
+		t.Errorf("%d requests were lost, the banned worker got %d", u.lost.Load(), out.calls()-banned)
+	}
+	t.Logf("%d jobs served, %d sent again on a new connection", u.served.Load(), u.resent.Load())
+	u.audit()
+}
+
+// The new process dies at any time before the old one is told to end: the old one serves on.
+func TestUpgradeFails(t *testing.T) {
+	u := newUpgraded(t, 2)
+	u.killed = true
+	u.clients(20)
+	for _, most := range []int{20, 80, 400} {
+		cmd, _ := u.start()
+		u.pause(most)
+		check(t, cmd.Process.Kill())
+		_ = cmd.Wait()
+		before := u.served.Load()
+		eventually(t, "the old process serves on", func() bool { return u.served.Load() > before+100 })
+		u.want("ACK", "status\n")
+	}
+	cmd, admin := u.start()
+	eventually(t, "a later one is ready", func() bool { return ready(admin) })
+	check(t, u.cmd.Process.Kill()) // and now the old one dies
+	_ = u.cmd.Wait()
+	u.cmd, u.admin = cmd, admin
+	before := u.served.Load()
+	eventually(t, "the new process serves on", func() bool { return u.served.Load() > before+100 })
+	u.end()
+	u.audit()
+}
+
+// What lies at the meeting place from before, or speaks otherwise, does not keep a node
+// from starting in bounded time.
+func TestUpgradeBesideStrangers(t *testing.T) {
+	for name, stranger := range map[string]func(net.Conn){
+		"silent":   func(net.Conn) {},
+		"half":     func(c net.Conn) { _, _ = io.WriteString(c, `{"t":"state","v":1,"st`) },
+		"another":  func(c net.Conn) { _, _ = io.WriteString(c, `{"t":"state","v":99}`+"\n") },
+		"binary":   func(c net.Conn) { _, _ = io.WriteString(c, "\x00\xff\n") },
+		"hangs up": func(c net.Conn) { c.Close() },
+		"no socket": func(c net.Conn) {
+			_, _ = io.WriteString(c, `{"t":"state","v":1,"state":{"instances":[]}}`+"\n")
+		},
+		"busy for ever": func(c net.Conn) {
+			_, _ = io.WriteString(c, `{"t":"refuse","v":1,"why":"busy"}`+"\n")
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			t.Setenv("TMPDIR", dir)
+			o := newOperated(t, 1, done)
+			socks, err := filepath.Glob(filepath.Join(dir, "moorstack-*.sock"))
+			if err != nil || len(socks) != 1 {
+				t.Fatalf("the meeting place: %q, %v", socks, err)
+			}
+			check(t, o.cmd.Process.Kill()) // its socket is left over
+			_ = o.cmd.Wait()
+			check(t, os.Remove(socks[0]))
+			l, err := net.Listen("unix", socks[0])
+			check(t, err)
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						_, _ = bufio.NewReader(c).ReadString('\n')
+						stranger(c)
+						_, _ = io.Copy(io.Discard, c)
+					}()
+				}
+			}()
+			u := &upgraded{operated: o}
+			began := time.Now()
+			cmd, admin := u.start()
+			eventually(t, "the node is ready", func() bool { return ready(admin) })
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("it took %v", took)
+			}
+			o.dial().send(job("a", "quote", "4000m", "x")).want(200, "did x")
+			check(t, cmd.Process.Signal(syscall.SIGTERM))
+			if err := cmd.Wait(); errors.Is(err, os.ErrProcessDone) {
+				t.Error(err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/handover/link.go
@@ -0,0 +1,266 @@
+package handover
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"moorstack/internal/net"
+)
+
+// longest is the longest path that a Unix address holds.
+const longest = 107
+
+// Place is where a node's processes meet: a socket in a folder, named by the node's
+// address, so that the nodes of one machine don't meet each other.
+type Place struct{ dir, name string }
+
+// At is the place in a folder for the node that serves at an address.
+func At(dir, listen string) Place {
+	sum := fnv.New64a()
+	sum.Write([]byte(listen))
+	return Place{dir, fmt.Sprintf("moorstack-%x.sock", sum.Sum64())}
+}
+
+// address gives the socket's address under a name, and what is to be done once it has been used.
+//
+// Hazard: the folder's path may be longer than a Unix address. A descriptor of the folder
+// makes a short one.
+func (p Place) address(name string) (*unix.SockaddrUnix, func(), error) {
+	path := filepath.Join(p.dir, name)
+	if len(path) <= longest {
+		return &unix.SockaddrUnix{Name: path}, func() {}, nil
+	}
+	fd, err := unix.Open(p.dir, unix.O_PATH|unix.O_DIRECTORY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("opening %s: %w", p.dir, err)
+	}
+	path = fmt.Sprintf("/proc/self/fd/%d/%s", fd, name)
+	return &unix.SockaddrUnix{Name: path}, func() { unix.Close(fd) }, nil
+}
+
+// Listen waits there for the process that will take this one's place, and takes the
+// place of whoever waited there before.
+func (p Place) Listen(loop *net.Loop, accept func(*net.Conn)) (*net.Listener, error) {
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	own := fmt.Sprintf("%s.%d", p.name, os.Getpid())
+	err = func() error {
+		_ = os.Remove(filepath.Join(p.dir, own)) // left over from a process that had this number
+		addr, used, err := p.address(own)
+		if err != nil {
+			return err
+		}
+		defer used()
+		if err := unix.Bind(fd, addr); err != nil {
+			return err
+		}
+		if err := os.Chmod(filepath.Join(p.dir, own), 0o600); err != nil {
+			return err
+		}
+		if err := unix.Listen(fd, 4); err != nil {
+			return err
+		}
+		// In one step: at any time whoever calls there finds one of the two.
+		return os.Rename(filepath.Join(p.dir, own), filepath.Join(p.dir, p.name))
+	}()
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("the place for the next process, %s: %w", filepath.Join(p.dir, p.name), err)
+	}
+	return loop.ListenOn(fd, net.Limits{Connections: 2, Bytes: 2 * MaxMessage}, accept)
+}
+
+// Offered is what a process gets from the one whose place it takes.
+type Offered struct {
+	State  *State
+	Listen int // the listening socket
+	Conn   int // the connection with the other process
+}
+
+// ErrAlone says that no process is there.
+var ErrAlone = errors.New("no process to take over from")
+
+// Join asks the process that waits at the place for its state and its listening socket. It
+// returns ErrAlone at once if there is none, another error if it can't be had in time.
+func (p Place) Join(name, listen string) (*Offered, error) {
+	for end := time.Now().Add(JoinBy); ; time.Sleep(50 * time.Millisecond) {
+		o, err := p.join(name, listen, end)
+		if !errors.Is(err, errBusy) || time.Now().After(end) {
+			return o, err
+		}
+	}
+}
+
+var errBusy = errors.New("another process is about to take its place")
+
+func (p Place) join(name, listen string, end time.Time) (o *Offered, err error) {
+	addr, used, err := p.address(p.name)
+	if err != nil {
+		return nil, ErrAlone // there is no folder
+	}
+	defer used()
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("socket: %w", err)
+	}
+	listener := -1
+	defer func() {
+		if err != nil {
+			unix.Close(fd)
+			if listener >= 0 {
+				unix.Close(listener)
+			}
+		}
+	}()
+	if err := unix.Connect(fd, addr); err != nil {
+		// Hazard: the socket is left over from a process that was killed. It refuses.
+		return nil, ErrAlone
+	}
+	hello := Message{Type: IsHello, Version: Version, Name: name, Listen: listen}
+	if _, err := unix.Write(fd, hello.Append(nil)); err != nil {
+		return nil, fmt.Errorf("asking for its place: %w", err)
+	}
+	var in []byte
+	buf, oob := make([]byte, 64<<10), make([]byte, 64)
+	for !bytes.ContainsRune(in, '\n') {
+		left := time.Until(end)
+		if left <= 0 {
+			return nil, errors.New("the process there does not answer in time")
+		}
+		tv := unix.NsecToTimeval(int64(left))
+		if err := unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &tv); err != nil {
+			return nil, err
+		}
+		n, on, _, _, err := unix.Recvmsg(fd, buf, oob, unix.MSG_CMSG_CLOEXEC)
+		if err != nil && !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.EAGAIN) {
+			return nil, fmt.Errorf("reading its state: %w", err)
+		}
+		if got := descriptor(oob[:max(on, 0)]); got >= 0 {
+			listener = got
+		}
+		if err == nil && n == 0 {
+			return nil, errors.New("the process there hung up")
+		}
+		if in = append(in, buf[:max(n, 0)]...); len(in) > MaxMessage {
+			return nil, errors.New("its state has no end")
+		}
+	}
+	line, rest, _ := bytes.Cut(in, []byte("\n"))
+	m, err := Parse(line)
+	switch {
+	case err != nil:
+		return nil, err
+	case m.Type == IsRefuse:
+		return nil, fmt.Errorf("%w: %s", errBusy, m.Why)
+	case m.Type != IsState || len(rest) > 0:
+		return nil, fmt.Errorf("an answer of type %q", m.Type)
+	case listener < 0:
+		return nil, errors.New("the state came without the listening socket")
+	}
+	none := unix.Timeval{}
+	_ = unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &none)
+	return &Offered{m.State, listener, fd}, nil
+}
+
+// descriptor is the one that came along, or -1.
+func descriptor(oob []byte) int {
+	messages, err := unix.ParseSocketControlMessage(oob)
+	if err != nil {
+		return -1
+	}
+	for i := range messages {
+		if fds, err := unix.ParseUnixRights(&messages[i]); err == nil && len(fds) > 0 {
+			for _, more := range fds[1:] {
+				unix.Close(more)
+			}
+			return fds[0]
+		}
+	}
+	return -1
+}
+
+// Link is the connection of the two processes, on the loop of one.
+type Link struct {
+	conn *net.Conn
+	line []byte
+	said func(*Link, *Message)
+	gone func(*Link, error)
+}
+
+var _ net.Handler = (*Link)(nil)
+
+// Accept makes a link of a connection that was accepted.
+func Accept(conn *net.Conn, said func(*Link, *Message), gone func(*Link, error)) *Link {
+	l := &Link{conn: conn, said: said, gone: gone}
+	conn.H = l
+	return l
+}
+
+// Connect makes a link of the connection that Join has made.
+func Connect(loop *net.Loop, fd int, said func(*Link, *Message), gone func(*Link, error)) (*Link, error) {
+	l := &Link{said: said, gone: gone}
+	var err error
+	l.conn, err = loop.Adopt(fd, l)
+	return l, err
+}
+
+// Send sends a message.
+func (l *Link) Send(m Message) { l.conn.Write(m.Append(nil)) }
+
+// Offer sends the state with the listening socket.
+func (l *Link) Offer(s *State, listener int) error {
+	m := Message{Type: IsState, Version: Version, State: s}
+	return l.conn.WriteFDs(m.Append(nil), listener)
+}
+
+// Refuse says no and hangs up.
+func (l *Link) Refuse(why string) {
+	l.Send(Message{Type: IsRefuse, Version: Version, Why: why})
+	l.conn.Finish()
+}
+
+// Close hangs up; nothing is told.
+func (l *Link) Close() { l.conn.Close() }
+
+// Up is of no concern: the connection is there.
+func (*Link) Up(*net.Conn) {}
+
+// Data takes whole messages, however they were cut.
+func (l *Link) Data(c *net.Conn) {
+	c.Taken() // whoever says hello and then little is not shed for it; TakeBy ends that
+	l.line = append(l.line, c.In()...)
+	c.Use(len(c.In()))
+	for !c.Closed() && !c.Finished() {
+		line, rest, whole := bytes.Cut(l.line, []byte("\n"))
+		if !whole {
+			break
+		}
+		m, err := Parse(line)
+		l.line = append([]byte(nil), rest...)
+		if err != nil {
+			l.fail(err)
+			return
+		}
+		l.said(l, m)
+	}
+	if len(l.line) > MaxMessage {
+		l.fail(errors.New("a message without end"))
+	}
+}
+
+// Ended is the end from the other side.
+func (l *Link) Ended(_ *net.Conn, err error) { l.gone(l, err) }
+
+func (l *Link) fail(err error) {
+	l.conn.Close()
+	l.gone(l, err)
+}
--- /dev/null
+++ b/internal/handover/message.go
@@ -0,0 +1,96 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"moorstack/brain"
+)
+
+// Version is of the messages. Processes of different ones don't speak to each other:
+// the new one then serves beside the old one at a socket of its own.
+const Version = 1
+
+// MaxMessage is the longest message that is read.
+const MaxMessage = 8 << 20
+
+// Type says which of a message's parts is set.
+type Type string
+
+// The messages. A hello is answered with a state, or with a refusal.
+const (
+	IsHello  Type = "hello"
+	IsState  Type = "state"
+	IsRefuse Type = "refuse"
+	IsTake   Type = "take"
+	IsTaken  Type = "taken"
+	IsEmpty  Type = "empty"
+	IsCall   Type = "call"  // a next hop's call-back, for a branch of the other's
+	IsHeard  Type = "heard" // what became of it
+	IsBegun  Type = "begun" // ids of transactions that the other must not begin
+	IsHeld   Type = "held"  // what the old process has unfinished, by next hop
+	IsBan    Type = "ban"   // an operator's word
+)
+
+// Message is a line of JSON.
+type Message struct {
+	Type    Type     `json:"t"`
+	Version int      `json:"v,omitempty"`
+	Name    string   `json:"name,omitempty"`   // of a hello: the node's
+	Listen  string   `json:"listen,omitempty"` // likewise: the clients' address
+	Why     string   `json:"why,omitempty"`
+	State   *State   `json:"state,omitempty"`
+	IDs     []string `json:"ids,omitempty"` // of taken and begun
+	Number  uint64   `json:"n,omitempty"`   // of a call, and of what became of it
+	Body    []byte   `json:"body,omitempty"`
+	Found   bool     `json:"found,omitempty"`
+	Ban     *Ban     `json:"ban,omitempty"`
+
+	Held map[string]float64 `json:"held,omitempty"`
+}
+
+// State is what one process of a node must know of what the other did.
+type State struct {
+	Generation int64           `json:"generation"`
+	Instances  json.RawMessage `json:"instances"` // in discovery's form
+	Known      []string        `json:"known"`     // next hops that were ever listed
+	Bans       []Ban           `json:"bans"`
+	Module     brain.Memory    `json:"module"`
+}
+
+// Ban is an operators' word on a next hop.
+type Ban struct {
+	Name  string        `json:"name"`
+	Out   bool          `json:"out"`
+	Since time.Duration `json:"since"`           // when it was taken out
+	Ended time.Duration `json:"ended,omitempty"` // when it was put back
+}
+
+// errVersion says that the other process speaks another version.
+var errVersion = errors.New("another version")
+
+// Parse reads a message.
+func Parse(line []byte) (*Message, error) {
+	var m Message
+	if err := json.Unmarshal(line, &m); err != nil {
+		return nil, fmt.Errorf("a message that can't be read: %w", err)
+	}
+	if (m.Type == IsHello || m.Type == IsState) && m.Version != Version {
+		return nil, fmt.Errorf("%w: %d, and this process speaks %d", errVersion, m.Version, Version)
+	}
+	if m.Type == IsState && m.State == nil || m.Type == IsBan && m.Ban == nil {
+		return nil, fmt.Errorf("a message of type %q without what it is for", m.Type)
+	}
+	return &m, nil
+}
+
+// Append appends the message as a line.
+func (m *Message) Append(dst []byte) []byte {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // it holds nothing that has no JSON
+	}
+	return append(append(dst, raw...), '\n')
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"moorstack/internal/admin"
 	"moorstack/internal/core"
 	"moorstack/internal/faktory"
+	"moorstack/internal/handover"
 	"moorstack/internal/net"
 	"moorstack/internal/platform"
 	"moorstack/internal/routing"
@@ -40,6 +41,9 @@
 	front *platform.Front
 	cores []hosted
 	drain func(done func())
+
+	memory  int64    // the collector's limit, where this process is alone
+	upgrade *upgrade // nil: no other process takes this one's place
 }
 
 // hosted is a core and how the node's settings are fitted to its front.
@@ -74,12 +78,19 @@
 	// One goroutine does all the work of the fronts. The collector works harder before
 	// the memory limit, beyond which the node is killed, is near.
 	runtime.GOMAXPROCS(max(o.Procs, 1))
-	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
+	memory := cfg.Limits.MemoryMB << 20 * 6 / 10
+	debug.SetMemoryLimit(memory)
 	loop, err := net.New()
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{loop: loop, log: o.Log}
+	n := &Node{loop: loop, log: o.Log, memory: memory}
+	var place handover.Place
+	var offered *handover.Offered
+	began := loop.Now()
+	if cfg.Upgrades() && o.Faktory == nil {
+		place, offered = join(cfg, o.Log)
+	}
 	if o.Faktory != nil {
 		// Its file may allow more than this node has.
 		o.Faktory.Connections = min(o.Faktory.Connections, cfg.Limits.Sockets/4)
@@ -96,9 +107,20 @@
 		hosted{Core: c, front: "http", fit: func(s brain.Settings) brain.Settings { return s },
 			routes: n.front.SetRoutes},
 	)
-	if err := n.front.Open(c); err != nil {
+	if offered != nil {
+		err = n.front.OpenOn(c, offered.Listen, offered.State.Generation, offered.State.Instances,
+			passed(offered.State))
+	} else {
+		err = n.front.Open(c)
+	}
+	if err != nil {
 		return nil, err
 	}
+	if cfg.Upgrades() && o.Faktory == nil {
+		if err := n.begin(place, offered, began); err != nil {
+			return nil, err
+		}
+	}
 	n.drain = n.front.Drain
 	if o.Faktory != nil {
 		other, err := n.openFaktory(o.Faktory, set, cfg.SeedNumber())
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -10,9 +10,16 @@
 
 var _ admin.Node = operators{}
 
-func (o operators) Ready() error              { return o.front.Ready() }
 func (o operators) Figures(dst []byte) []byte { return o.front.Figures(dst) }
 
+// Ready is of this process: while another takes its place, one of the two says no.
+func (o operators) Ready() error {
+	if err := o.front.Ready(); err != nil {
+		return err
+	}
+	return o.upgrade.ready()
+}
+
 // Ban takes a next hop out at all cores, whichever front it belongs to.
 func (o operators) Ban(id string) error {
 	if err := o.listed(id); err != nil {
@@ -21,6 +28,7 @@
 	for _, c := range o.cores {
 		c.Ban(id)
 	}
+	o.upgrade.tell(id, true)
 	o.log.WithField("worker", id).Info("taken out by an operator")
 	return nil
 }
@@ -34,7 +42,7 @@
 	for _, c := range o.cores {
 		was = c.Unban(id) || was
 	}
-	if was {
+	if o.upgrade.tell(id, false); was {
 		o.log.WithField("worker", id).Info("put back by an operator")
 	}
 	return nil
--- /dev/null
+++ b/internal/node/upgrade.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/core"
+	"moorstack/internal/handover"
+	"moorstack/internal/net"
+	"moorstack/internal/platform"
+)
+
+var (
+	errBeside   = errors.New("taking over: the old process has clients still")
+	errTwoCores = errors.New("a node with more than the platform's front can't pass its state on")
+)
+
+// upgrade carries out what the machine of the handover says.
+type upgrade struct {
+	*Node
+	place   handover.Place
+	machine *handover.Machine
+	link    *handover.Link     // with the other process; nil: there is none
+	inlet   *net.Listener      // where the next process asks; nil: not open
+	held    map[string]float64 // what the successor was told of our unfinished jobs
+}
+
+var _ platform.Beside = (*upgrade)(nil)
+
+// join looks for a process whose place this one takes. Whatever is in the way, the node
+// starts: alone if no other is there, else beside it at a socket of its own.
+func join(cfg *platform.Config, log logrus.FieldLogger) (handover.Place, *handover.Offered) {
+	place := handover.At(os.Getenv("TMPDIR"), cfg.Listen)
+	offered, err := place.Join(cfg.Name, cfg.Listen)
+	switch {
+	case errors.Is(err, handover.ErrAlone):
+	case err != nil:
+		log.WithError(err).Warn("the process before this one can't be taken over from; serving beside it")
+	default:
+		log.Info("taking the place of the process before this one")
+	}
+	return place, offered
+}
+
+// begin sets the handover up for a node that is open. Offered is nil for one that found
+// no other process.
+func (n *Node) begin(place handover.Place, offered *handover.Offered, began time.Duration) error {
+	u := &upgrade{Node: n, place: place, machine: handover.Old()}
+	n.upgrade = u
+	if offered == nil {
+		u.next()
+		return nil
+	}
+	u.machine = handover.New(began)
+	var err error
+	if u.link, err = handover.Connect(n.loop, offered.Conn, u.said, u.gone); err != nil {
+		return err
+	}
+	u.share(true)
+	u.link.Send(handover.Message{Type: handover.IsTake})
+	n.loop.After(handover.LetBy, func() {
+		if u.machine.Phase() == handover.Taking {
+			u.step(handover.Late)
+		}
+	})
+	return nil
+}
+
+// Ready is nil while this process is ready to be the node's only one.
+func (u *upgrade) ready() error {
+	if u == nil || u.machine.Ready(u.loop.Now()) {
+		return nil
+	}
+	return errBeside
+}
+
+// next listens for the process that will take this one's place.
+func (u *upgrade) next() {
+	if u.inlet != nil {
+		u.inlet.Close()
+	}
+	var err error
+	if u.inlet, err = u.place.Listen(u.loop, u.asked); err != nil {
+		u.log.WithError(err).Warn("no other process will be able to take this one's place")
+	}
+}
+
+// asked takes the connection of a process that may want this one's place. It says so with
+// its first message.
+func (u *upgrade) asked(c *net.Conn) {
+	handover.Accept(c, u.said, u.gone)
+}
+
+// share has the limits be for two processes, or for one.
+func (u *upgrade) share(on bool) {
+	var with platform.Beside
+	parts := int64(1)
+	if on {
+		with, parts = u, 2
+	}
+	u.front.Share(with)
+	debug.SetMemoryLimit(u.memory / parts)
+}
+
+func (u *upgrade) gone(l *handover.Link, err error) {
+	if l != u.link {
+		return // one that was refused, or said nothing
+	}
+	u.log.WithError(err).WithField("phase", u.machine.Phase().String()).Info("the other process is gone")
+	u.step(handover.Gone)
+}
+
+// said takes a message.
+func (u *upgrade) said(l *handover.Link, m *handover.Message) {
+	if m.Type == handover.IsHello {
+		u.hello(l)
+		return
+	}
+	if l != u.link {
+		l.Close() // it has not said who it is
+		return
+	}
+	switch m.Type {
+	case handover.IsTake:
+		u.step(handover.Take)
+	case handover.IsTaken:
+		u.front.Theirs(m.IDs)
+		u.step(handover.Taken)
+	case handover.IsEmpty:
+		u.step(handover.Empty)
+	case handover.IsCall:
+		u.link.Send(handover.Message{Type: handover.IsHeard, Number: m.Number, Found: u.front.Called(m.Body)})
+	case handover.IsHeard:
+		u.front.Heard(m.Number)
+	case handover.IsBegun:
+		u.front.Theirs(m.IDs)
+	case handover.IsHeld:
+		u.cores[0].Beside(m.Held)
+	case handover.IsBan:
+		u.banned(m.Ban)
+	}
+}
+
+func (u *upgrade) hello(l *handover.Link) {
+	was := u.link
+	for _, e := range u.machine.Step(handover.Asked) {
+		if e == handover.Refuse {
+			l.Refuse("the process is " + u.machine.Phase().String())
+			continue
+		}
+		u.link = l
+		if err := u.offer(); err != nil {
+			u.log.WithError(err).Error("the state can't be passed on")
+			u.step(handover.Gone)
+			return
+		}
+		u.share(true)
+		u.loop.After(handover.TakeBy, func() {
+			if u.link == l && u.machine.Phase() == handover.Offering {
+				u.log.Warn("the process that asked for this one's place does not serve in time")
+				u.step(handover.Late)
+			}
+		})
+	}
+	if was != nil && u.link != was {
+		was.Close()
+	}
+}
+
+// offer sends all that the rules must know of what this process did.
+func (u *upgrade) offer() error {
+	if len(u.cores) != 1 {
+		return errTwoCores
+	}
+	passed := u.cores[0].Pass()
+	generation, list, err := u.front.List()
+	if err != nil {
+		return err
+	}
+	s := &handover.State{Generation: generation, Instances: list, Known: passed.Known, Module: passed.Module}
+	for name, since := range passed.Bans {
+		s.Bans = append(s.Bans, handover.Ban{Name: name, Out: true, Since: since})
+	}
+	for name, t := range passed.Back {
+		s.Bans = append(s.Bans, handover.Ban{Name: name, Since: t[0], Ended: t[1]})
+	}
+	return u.link.Offer(s, u.front.Socket())
+}
+
+// passed is a state as the core takes it.
+func passed(s *handover.State) core.Passed {
+	p := core.Passed{Known: s.Known, Bans: map[string]time.Duration{},
+		Back: map[string][2]time.Duration{}, Module: s.Module}
+	for _, b := range s.Bans {
+		if b.Out {
+			p.Bans[b.Name] = b.Since
+		} else {
+			p.Back[b.Name] = [2]time.Duration{b.Since, b.Ended}
+		}
+	}
+	return p
+}
+
+// step has the machine take an event, and does what it says.
+func (u *upgrade) step(event handover.Event) {
+	before := u.machine.Phase()
+	for _, e := range u.machine.Step(event) {
+		switch e {
+		case handover.LetGo:
+			u.front.LetGo()
+			u.link.Send(handover.Message{Type: handover.IsTaken, IDs: u.cores[0].Open()})
+			u.poll()
+		case handover.Resume:
+			u.front.TakeBack()
+		case handover.Grow:
+			u.share(false)
+			u.cores[0].Beside(nil)
+		case handover.Next:
+			u.next()
+		case handover.Hangup:
+			if u.link != nil {
+				u.link.Close()
+				u.link = nil
+			}
+		}
+	}
+	if now := u.machine.Phase(); now != before {
+		u.log.WithField("phase", now.String()).Info("the handover goes on")
+	}
+}
+
+// poll tells the successor what this process has unfinished, and once it owes no client
+// anything.
+func (u *upgrade) poll() {
+	if u.machine.Phase() != handover.Handed || u.link == nil {
+		return
+	}
+	if held := u.cores[0].Held(); !maps.Equal(held, u.held) {
+		u.held = held
+		u.link.Send(handover.Message{Type: handover.IsHeld, Held: held})
+	}
+	if u.front.Alone() {
+		u.link.Send(handover.Message{Type: handover.IsEmpty})
+		return
+	}
+	u.loop.After(20*time.Millisecond, u.poll)
+}
+
+// Relay passes a next hop's call-back on.
+func (u *upgrade) Relay(number uint64, body []byte) {
+	u.link.Send(handover.Message{Type: handover.IsCall, Number: number, Body: body})
+}
+
+// Begun tells of a transaction that the other process must not begin.
+func (u *upgrade) Begun(id string) {
+	// The state is told before the ids that are open: what begins until then is among them.
+	if p := u.machine.Phase(); p == handover.Handed || p == handover.Beside || p == handover.Taking {
+		u.link.Send(handover.Message{Type: handover.IsBegun, IDs: []string{id}})
+	}
+}
+
+// tell passes an operator's word on to the other process, for both still give out work.
+func (u *upgrade) tell(id string, out bool) {
+	if u != nil && u.link != nil {
+		u.link.Send(handover.Message{Type: handover.IsBan, Ban: &handover.Ban{Name: id, Out: out}})
+	}
+}
+
+func (u *upgrade) banned(b *handover.Ban) {
+	for _, c := range u.cores {
+		if b.Out {
+			c.Ban(b.Name)
+		} else {
+			c.Unban(b.Name)
+		}
+	}
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -87,6 +87,10 @@
 	return c, nil
 }
 
+// Upgrades says whether another process may take this one's place while the node serves:
+// on the days on which operators call, and the platform gives a folder to both.
+func (c *Config) Upgrades() bool { return c.Admin != "" && os.Getenv("TMPDIR") != "" }
+
 // check looks for what a node can't go on with.
 func (c *Config) check() error {
 	if c.Limits.Sockets < 16 {
@@ -197,6 +201,9 @@
 // tell hands a list to the core, with the next hops that its lines name.
 func (f *Front) tell(kind brain.ListKind, set *routeSet) {
 	entries := make([]core.Entry, 0, len(set.Instances))
+	if kind != brain.Changes {
+		clear(f.lines)
+	}
 	named := map[string]bool{}
 	for _, l := range set.Instances {
 		e := core.Entry{Name: l.ID, Cell: l.Cell, State: lifecycles[l.Lifecycle], Size: l.Weight,
@@ -204,7 +211,9 @@
 			Since: time.Duration(l.StartedMS) * time.Millisecond}
 		if e.State == brain.Removed {
 			f.remove(l.ID)
+			delete(f.lines, l.ID)
 		} else {
+			f.lines[l.ID] = l
 			named[l.ID] = true
 			e.Hop = f.hopAt(l.ID, l.Address)
 		}
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -14,6 +14,8 @@
 	switch {
 	case f.drain.Ending():
 		return drain.ErrEnding
+	case f.drain.Handed():
+		return drain.ErrHanded
 	case f.drain.State() != drain.Serving:
 		return errors.New(f.drain.State().String())
 	case !f.core.Ready():
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,6 +32,8 @@
 	names    names
 	log      logrus.FieldLogger
 	listener *net.Listener
+	relays                   // what passes between this process and one beside it
+	lines    map[string]line // the list, as discovery words it
 	hops     map[string]*nextHop
 	clients  map[*client]struct{}
 	drain    drain.Drain
@@ -46,6 +48,7 @@
 	f := &Front{loop: loop, cfg: cfg, names: namesOf(&cfg.Settings), log: log, hops: map[string]*nextHop{},
 		clients: map[*client]struct{}{}}
 	f.brokeAt = -mistrust
+	f.lines, f.relays.waiting = map[string]line{}, map[uint64]*client{}
 	f.counts.Classes = make([]figures.Class, len(cfg.Settings.Classes))
 	f.dir = &directory{front: f, generation: cfg.Known.Generation}
 	return f
@@ -58,16 +61,24 @@
 func (f *Front) Open(c *core.Core) error {
 	f.core = c
 	f.tell(brain.Cached, &f.cfg.Known)
-	// A quarter of the descriptors is kept for branches, probes and discovery. A quarter
-	// of the memory may hold what has come in; results, the jobs under way and the
-	// collector's slack need the rest.
-	most := f.cfg.Limits
-	limits := net.Limits{Connections: most.Sockets*3/4 - most.Others, Bytes: int(most.MemoryMB << 20 / 4)}
 	var err error
-	f.listener, err = f.loop.Listen(f.cfg.Listen, limits, f.accept)
+	f.listener, err = f.loop.Listen(f.cfg.Listen, f.limits(), f.accept)
 	return err
 }
 
+// limits are what who comes in may take: a quarter of the descriptors is kept for
+// branches, probes and discovery. A quarter of the memory may hold what has come in;
+// results, the jobs under way and the collector's slack need the rest. Two processes of
+// one node have half of that each.
+func (f *Front) limits() net.Limits {
+	most, parts := f.cfg.Limits, 1
+	if f.shared {
+		parts = 2
+	}
+	return net.Limits{Connections: (most.Sockets*3/4 - most.Others) / parts,
+		Bytes: int(most.MemoryMB<<20/4) / parts, Share: f.cfg.Upgrades()}
+}
+
 // SetRoutes has jobs go by these rules, from the next one on; nil: by none.
 func (f *Front) SetRoutes(t *routing.Table) { f.routes = t }
 
@@ -86,6 +97,9 @@
 	class int    // its class
 	rule  string // by which it was routed, if by any
 	waits bool
+
+	relayed bool // its call-back is with the other process, which has not said yet
+
 	last  bool // the connection closes after this answer
 	asked bool // a 100 has been sent for the request being read
 	hop   bool // it is a next hop's, which calls back on it
@@ -102,7 +116,7 @@
 // Data reads requests one at a time: a pipelined one waits until the one before
 // it has its answer.
 func (c *client) Data(*net.Conn) {
-	for !c.waits && !c.last && !c.conn.Closed() && len(c.conn.In()) > 0 {
+	for !c.waits && !c.relayed && !c.last && !c.conn.Closed() && len(c.conn.In()) > 0 {
 		whole, err := c.in.Feed(c.conn.In())
 		if err == nil && !whole && c.conn.Full() {
 			// Hazard: a body in chunks of a byte is mostly framing, and would wait here unread.
@@ -166,9 +180,10 @@
 	switch {
 	case m.Method == "POST" && path == callBack:
 		c.hop = true
-		c.front.event(body)
-		// Whatever it names, it has been heard: else it would be repeated.
-		c.respond(204, "", nil)
+		if c.front.event(body) || !c.front.relay(c, body) {
+			// Whatever it names, it has been heard: else it would be repeated.
+			c.respond(204, "", nil)
+		}
 	case path == ready && m.Method == "GET":
 		c.last = true // it is asked seldom, but for those who mean to stay
 		if c.front.Ready() != nil {
@@ -204,6 +219,9 @@
 		c.busy(d.RetryAfter, d.Refused)
 		return
 	}
+	if err == nil && c.front.elsewhere(t.ID) {
+		err = core.ErrKnown
+	}
 	if err == nil {
 		c.id, c.waits = t.ID, true
 		if err = c.front.core.Begin(t, c); err == nil {
@@ -353,7 +371,7 @@
 	if !c.used && c.front.loop.Now() < c.opened+drain.Notice {
 		return // its first request is on its way
 	}
-	if !c.waits && !c.hop && c.conn.Unsent() == 0 && !c.conn.Closed() && !c.conn.Pending() {
+	if !c.waits && !c.relayed && !c.hop && c.conn.Unsent() == 0 && !c.conn.Closed() && !c.conn.Pending() {
 		c.conn.Finish()
 		c.gone()
 	}
@@ -372,9 +390,10 @@
 	delete(c.front.clients, c)
 }
 
-// event takes a call-back. It may come before the 202, again, or late: only the
-// branch that is out at the next hop it comes from is ended by it, once.
-func (f *Front) event(body []byte) {
+// event takes a call-back, and reports whether it was for a branch of this process. It may
+// come before the 202, again, or late: only the branch that is out at the next hop it
+// comes from is ended by it, once.
+func (f *Front) event(body []byte) bool {
 	var e struct {
 		ID     string             `json:"id"`
 		From   string             `json:"from"`
@@ -385,7 +404,7 @@
 	}
 	if err := json.Unmarshal(body, &e); err != nil {
 		f.log.WithError(err).Warn("a call-back that can't be read")
-		return
+		return true
 	}
 	report := brain.NoReport
 	for name, v := range e.Load {
@@ -395,17 +414,17 @@
 	case "done":
 		if e.Result == nil {
 			f.log.WithField("from", e.From).Warn("a call-back that is done and has no result")
-			f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
-			return
+			return f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
 		}
-		f.core.EndAt(e.ID, e.From, brain.OK, []byte(*e.Result), report)
+		return f.core.EndAt(e.ID, e.From, brain.OK, []byte(*e.Result), report)
 	case "failed":
-		f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
+		return f.core.EndAt(e.ID, e.From, brain.Error, nil, report)
 	case "returned":
-		f.core.EndAt(e.ID, e.From, brain.Full, nil, report)
+		return f.core.EndAt(e.ID, e.From, brain.Full, nil, report)
 	case "lost":
-		f.core.EndAt(e.ID, e.From, brain.Reset, nil, report)
+		return f.core.EndAt(e.ID, e.From, brain.Reset, nil, report)
 	case "started", "running":
-		f.core.Progress(e.ID, e.From, e.State == "started", e.Share)
+		return f.core.Progress(e.ID, e.From, e.State == "started", e.Share)
 	}
+	return true // no state of the protocol's
 }
