Wait for half-come requests at the end, and have an upgrade ask the reloaded discovery

Read again beside the hazards: a process that ends as soon as its last answer is written loses a request that has half come (its client then meets a connection that is closed unread); one that takes another's place read discovery's address from the variable of the start, which a reload had left behind; and what was learned under a clock that is ahead would grow with time instead of fading.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1264,7 +1264,7 @@
 	second := newSeeded(t, set, 2)
 	second.now = first.now
 	second.members(Cached, list[0], list[1], cold)
-	second.b.Recall(m)
+	second.b.Recall(second.now, m)
 	if w := second.b.byID[cold.ID]; len(w.sent) != 1 || w.sent[0].work != 7 {
 		t.Errorf("what was spent on the cold worker: %v", w.sent)
 	}
@@ -1285,5 +1285,5 @@
 			t.Errorf("%v jobs are out of a process that has none", n)
 		}
 	}
-	second.b.Recall(Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
+	second.b.Recall(second.now, Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
 }
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -66,8 +66,9 @@
 // and before any request. What does not fit these settings is left out.
 //
 // Hazard: a dispatcher that starts with nothing does not know what was just spent on cold
-// workers, nor which ones fail.
-func (b *Balancer) Recall(m Memory) {
+// workers, nor which ones fail. Another process's clock may be ahead of this one's, and
+// what is to fade with time would grow.
+func (b *Balancer) Recall(now time.Duration, m Memory) {
 	if len(m.Loads) == len(b.loads) && len(m.Slots) == len(b.slots) && len(m.Paces) == len(b.paces) {
 		for i, l := range m.Loads {
 			b.loads[i] = kindLoad{l[0], l[1]}
@@ -81,11 +82,11 @@
 			b.tallies[i] = tally{t[0], t[1]}
 		}
 		b.mean, b.ratio, b.arrived, b.watched = m.Mean, m.Ratio, m.Arrived, m.Watched
-		b.wait, b.waitT, b.crowd, b.surveyed = m.Wait, m.WaitT, m.Crowd, m.Surveyed
+		b.wait, b.waitT, b.crowd, b.surveyed = m.Wait, min(m.WaitT, now), m.Crowd, min(m.Surveyed, now)
 	}
 	if len(m.Allowances) == len(b.tenants) {
 		for i, a := range m.Allowances {
-			b.tenants[i] = allowance{left: a.Left, at: a.At, asked: a.Asked}
+			b.tenants[i] = allowance{left: a.Left, at: min(a.At, now), asked: a.Asked}
 		}
 	}
 	for _, w := range b.workers {
@@ -93,13 +94,14 @@
 		if !ok || k.Pace <= 0 {
 			continue
 		}
-		w.others, w.pace, w.wait, w.waitT, w.ill, w.illT = k.Others, k.Pace, k.Wait, k.WaitT, k.Ill, k.IllT
+		w.others, w.pace, w.wait, w.ill = k.Others, k.Pace, k.Wait, k.Ill
+		w.waitT, w.illT = min(k.WaitT, now), min(k.IllT, now)
 		if k.Owed {
 			b.Owe(w.ID)
 		}
 		if w.Since == k.Since {
 			for _, s := range k.Sent {
-				w.sent = append(w.sent, load{s.At, s.Work})
+				w.sent = append(w.sent, load{min(s.At, now), s.Work})
 			}
 		}
 	}
--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -321,3 +323,41 @@
 		})
 	}
 }
+
+// The new process asks discovery where a reload has sent the old one, whatever the variable
+// of the old one's start says; and ends after what has half come.
+func TestUpgradeAfterReload(t *testing.T) {
+	u := newUpgraded(t, 1)
+	<-u.watches
+	var asked atomic.Int64
+	moved := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(moved.Close)
+	t.Cleanup(moved.CloseClientConnections)
+	var config map[string]any
+	check(t, json.Unmarshal([]byte(u.config), &config))
+	config["discovery"] = strings.TrimPrefix(moved.URL, "http://")
+	text, err := json.Marshal(config)
+	check(t, err)
+	u.reload(string(text))
+	eventually(t, "the old process has moved", func() bool { return asked.Load() == 1 })
+	request := job("half", "quote", "4000m", "x")
+	half, sent := u.dial(), 0
+	drip := func() { half.send(request[sent : sent+1]); sent++ }
+	drip()
+	cmd, admin := u.start()
+	eventually(t, "the new process has asked there", func() bool { return asked.Load() == 2 })
+	eventually(t, "it is ready", func() bool {
+		drip()
+		time.Sleep(100 * time.Millisecond)
+		return ready(admin)
+	})
+	check(t, u.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond)
+	half.send(request[sent:]).want(200, "did x")
+	check(t, u.cmd.Wait())
+	u.cmd = cmd
+}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -41,7 +41,7 @@
 	for name, since := range p.Bans {
 		c.BanSince(name, since)
 	}
-	c.do(func() { c.bal.Recall(p.Module) })
+	c.do(func() { c.bal.Recall(c.clock.Now(), p.Module) })
 }
 
 // Held gives, by next hop, what this process has unfinished there.
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -55,6 +55,8 @@
 type State struct {
 	Generation int64           `json:"generation"`
 	Instances  json.RawMessage `json:"instances"` // in discovery's form
+	Discovery  string          `json:"discovery"` // its address, as reloads have left it
+	Written    string          `json:"written"`   // as the file gave it last
 	Known      []string        `json:"known"`     // next hops that were ever listed
 	Bans       []Ban           `json:"bans"`
 	Module     brain.Memory    `json:"module"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 			routes: n.front.SetRoutes},
 	)
 	if offered != nil {
+		cfg.GoBy(offered.State.Discovery, offered.State.Written)
 		err = n.front.OpenOn(c, offered.Listen, offered.State.Generation, offered.State.Instances,
 			passed(offered.State))
 	} else {
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -183,6 +183,7 @@
 		return err
 	}
 	s := &handover.State{Generation: generation, Instances: list, Known: passed.Known, Module: passed.Module}
+	s.Discovery, s.Written = u.front.Discovery()
 	for name, since := range passed.Bans {
 		s.Bans = append(s.Bans, handover.Ban{Name: name, Out: true, Since: since})
 	}
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -49,7 +49,7 @@
 		return
 	}
 	f.steer()
-	f.loop.At(f.drain.At(), func() { f.finish(done) })
+	f.loop.At(f.drain.At(), func() { f.finish(f.loop.Now()+half, done) })
 }
 
 // steer closes idle connections once the notice is over.
@@ -75,15 +75,21 @@
 	f.loop.After(sweepEvery, f.sweep)
 }
 
+// half is how long the end waits for requests that have come in part, or not been read.
+const half = time.Second
+
 // finish waits for the last answers to be written. The listener stays open until
 // then: next hops call back on it.
-func (f *Front) finish(done func()) {
+//
+// Hazard: between two looks at a connection a request may have come on it.
+func (f *Front) finish(until time.Duration, done func()) {
 	busy := f.core.Waiting() > 0
 	for c := range f.clients {
-		busy = busy || c.waits || c.conn.Unsent() > 0
+		busy = busy || c.waits || c.conn.Unsent() > 0 ||
+			!c.hop && c.conn.Pending() && f.loop.Now() < until
 	}
 	if busy {
-		f.loop.After(10*time.Millisecond, func() { f.finish(done) })
+		f.loop.After(10*time.Millisecond, func() { f.finish(until, done) })
 		return
 	}
 	f.listener.Close()
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -142,6 +142,19 @@
 	return f.dir.generation, raw, err
 }
 
+// Discovery is the address of discovery, and the one that the file gave last.
+func (f *Front) Discovery() (address, written string) { return f.cfg.Discovery, f.cfg.written }
+
+// GoBy has a process that takes another's place ask where that one asks.
+//
+// Hazard: the variable that comes first at a start names the address of before a reload.
+// A file that was changed since is newer than both.
+func (c *Config) GoBy(address, written string) {
+	if c.written == written && address != "" {
+		c.Discovery = address
+	}
+}
+
 // OpenOn is Open for a process that takes another one's place: with that one's list and
 // listening socket, and what its core has told.
 func (f *Front) OpenOn(c *core.Core, fd int, generation int64, list json.RawMessage, p core.Passed) error {
