Have many nodes ask discovery each in its own time after a release

It takes calls in turn, also those that it has turned away meanwhile, so who comes back soon finds the same queue.

In fleets of eight or more the first call is now spread over the shortest deadline by the node's number, and repeats at random over as much.

Ruled out: cold budgets.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,13 +27,30 @@
 	spare       = 5    // how many requests a tenant can save up at least; else those of Cold
 	choices     = 3    // how many workers are asked for their loads
 	brief       = 16   // the part of its aim for which a job waits for their answers
+	many        = 8    // dispatchers that don't ask for the list at once
 	stale       = 2    // news older than so many of the shortest deadlines says nothing of a queue
 	tiny        = 1e-9 // keeps divisors off zero
 )
 
+// firstAsk is the wait before the list is asked for at the start. Hazard: after a release most of many
+// dispatchers start at once. The list's service takes calls in turn, also those that it has turned away
+// meanwhile, and so falls behind for as long as they come back soon. Each has its own time, by its number.
+func (b *Balancer) firstAsk() time.Duration {
+	if b.set.Fleet < many {
+		return 0
+	}
+	return b.patience * time.Duration(b.set.Me) / time.Duration(b.set.Fleet)
+}
+
 // askAgain is the wait before the list is asked for again, longer each time. Hazards: without a
 // subscription drains go unheard; all that ask at once keep the list's service down.
-func (b *Balancer) askAgain() time.Duration { return b.spread(b.patience/16) << min(b.asks, 4) }
+func (b *Balancer) askAgain() time.Duration {
+	wait := b.spread(b.patience/16) << min(b.asks, 4)
+	if b.set.Fleet >= many {
+		wait += time.Duration(b.rng.Int64N(int64(b.patience)))
+	}
+	return wait
+}
 
 // place gives a request with no attempt out its next one, perhaps after asking, or its final answer.
 func (b *Balancer) place(now time.Duration, q *request) {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1287,3 +1287,32 @@
 	}
 	second.b.Recall(second.now, Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
 }
+
+// After a release most of many dispatchers start at once: each asks for the list at a time of
+// its own, and few of a small fleet wait.
+func TestManyAskInTurn(t *testing.T) {
+	for _, fleet := range []int{1, many - 1, many, 48} {
+		asked := map[time.Duration]int{}
+		var last time.Duration
+		for me := range fleet {
+			set := testSettings()
+			set.MustAsk, set.Fleet, set.Me = true, fleet, me
+			r := newRecorder(t, set)
+			began := r.now
+			r.members(Cached)
+			for r.watch == 0 {
+				r.pass(10 * time.Millisecond)
+			}
+			asked[r.now-began]++
+			last = max(last, r.now-began)
+		}
+		if fleet < many && last > 0 {
+			t.Errorf("of %d dispatchers one waits for %v", fleet, last)
+		}
+		for at, n := range asked {
+			if fleet >= many && (n > 1 || at > testSettings().Classes[0].Deadline) {
+				t.Errorf("%d of %d dispatchers ask after %v", n, fleet, at)
+			}
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -201,7 +201,10 @@
 	if !b.started {
 		b.started, b.surveyed = true, now
 		b.act.After(b.sweepEvery(), sweepToken)
-		if b.set.MustAsk {
+		switch wait := b.firstAsk(); {
+		case b.set.MustAsk && wait > 0:
+			b.act.After(wait, askToken)
+		case b.set.MustAsk:
 			b.act.Watch(true)
 		}
 	}
