--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -361,3 +361,48 @@
 	check(t, u.cmd.Wait())
 	u.cmd = cmd
 }
+
+// While two processes are the node, an id that is open at one does not begin at the other,
+// a call-back finds the process whose attempt it is, whoever accepts it, and an operator's
+// word at one holds at both.
+func TestUpgradeIsOneNode(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	held := make(chan seen, 4)
+	o := newOperated(t, 2, func(_ int, s seen, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		held <- s
+	})
+	u := &upgraded{operated: o}
+	kept := o.dial() // a worker's connection, which stays with the old process
+	event := func(c *client, s seen, status int) {
+		t.Helper()
+		body := fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":"did"}`, s.id, s.hop.name)
+		c.send(fmt.Sprintf("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		c.want(status, "")
+	}
+	event(kept, seen{id: "none", hop: o.hops[0]}, 204)
+	first := o.dial().send(job("first", "book", "9000m", "x"))
+	atOld := <-held
+	cmd, admin := u.start()
+	eventually(t, "the new process serves", func() bool {
+		return strings.Contains(call(t, o.admin, "status\n"), "taken this one's place")
+	})
+	o.dial().send(job("first", "book", "9000m", "x")).want(409, "")
+	second := o.dial().send(job("second", "book", "9000m", "x"))
+	atNew := <-held
+
+	if got := call(t, admin, "maint-on "+o.hops[0].name+"\n"); !strings.HasPrefix(got, "ACK") {
+		t.Fatal(got)
+	}
+	eventually(t, "the old process holds the ban", func() bool { return o.stats().Ejected == 1 })
+
+	event(o.dial(), atOld, 204) // accepted by the new one
+	first.want(200, "did")
+	event(kept, atNew, 204) // accepted by the old one
+	second.want(200, "did")
+	event(kept, atNew, 204) // a second delivery: nobody knows it any more
+	check(t, o.cmd.Process.Signal(syscall.SIGTERM))
+	check(t, o.cmd.Wait())
+	o.cmd = cmd
+}
