--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1285,6 +1285,14 @@
 			t.Errorf("%v jobs are out of a process that has none", n)
 		}
 	}
+	// Hazard: the other process's clock is ahead, and an illness grows with time.
+	behind := newSeeded(t, set, 3)
+	behind.now = first.now - time.Minute
+	behind.members(Cached, list[0], list[1], cold)
+	behind.b.Recall(behind.now, m)
+	if ill := behind.b.illness(behind.now, behind.b.byID[list[0].ID]); ill > 1 {
+		t.Errorf("by a clock that is behind a worker is ill by %v", ill)
+	}
 	second.b.Recall(second.now, Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
 }
 
--- /dev/null
+++ b/cmd/moorstack/call.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// answerBy is how long an answer is waited for; a node owes it within a second.
+const answerBy = 3 * time.Second
+
+func newCall() *cobra.Command {
+	var output string
+	cmd := &cobra.Command{
+		Use:   "call ADDRESS status|stats|maint-on ID|maint-off ID|standby|active",
+		Short: "Call a node of the platform at its second address",
+		Long: `call makes one operator's call at a node's second address (admin_addr in its
+configuration) and prints the answer. docs/operators/on-call.md tells when to use which.
+
+It ends with 0 if the node says yes, with 1 if it says no or does not answer.`,
+		Example: `  moorstack call 127.0.0.1:7171 status
+  moorstack call 127.0.0.1:7171 stats --output json
+  moorstack call 127.0.0.1:7171 maint-on s-5be2a07c`,
+		Args: cobra.RangeArgs(2, 3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if output != "table" && output != "json" {
+				return fmt.Errorf("--output: %q is not table or json", output)
+			}
+			answer, err := ask(args[0], strings.Join(args[1:], " "))
+			if err != nil {
+				return exitError{exitFailed, err}
+			}
+			if figures, ok := strings.CutSuffix(answer, "\n--\n"); ok {
+				return printFigures(cmd.OutOrStdout(), figures, output)
+			}
+			if strings.HasPrefix(answer, "ACK") {
+				_, err = io.WriteString(cmd.OutOrStdout(), answer)
+				return err
+			}
+			return exitError{exitFailed, errors.New(strings.TrimSpace(answer))}
+		},
+	}
+	cmd.Flags().StringVar(&output, "output", "table", "form of the figures: table or json")
+	return cmd
+}
+
+// ask makes a call and gives all of the answer.
+func ask(address, line string) (string, error) {
+	if strings.ContainsAny(line, "\r\n") {
+		return "", errors.New("a call is one line")
+	}
+	c, err := net.DialTimeout("tcp", address, answerBy)
+	if err != nil {
+		return "", fmt.Errorf("%w; is it the node's admin_addr, and does the node run?", err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(answerBy)); err != nil {
+		return "", err
+	}
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	answer, err := io.ReadAll(io.LimitReader(c, 1<<20))
+	if err != nil {
+		return "", fmt.Errorf("the node at %s does not answer: %w", address, err)
+	}
+	if len(answer) == 0 {
+		return "", fmt.Errorf("the node at %s hung up", address)
+	}
+	return string(answer), nil
+}
+
+// printFigures prints the figures as they came, or as a table.
+func printFigures(w io.Writer, figures, output string) error {
+	if output == "json" {
+		_, err := fmt.Fprintln(w, figures)
+		return err
+	}
+	var s struct {
+		Results                                          map[string]map[string]uint64
+		Forwards, Outstanding, Discovered, Ejected, Left uint64
+	}
+	if err := json.Unmarshal([]byte(figures), &s); err != nil {
+		return exitError{exitFailed, fmt.Errorf("figures that can't be read: %w", err)}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CLASS\tSUCCEEDED\tDECLINED\tABORTED")
+	for _, name := range slices.Sorted(maps.Keys(s.Results)) {
+		c := s.Results[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", name, c["succeeded"], c["declined"], c["aborted"])
+	}
+	fmt.Fprintf(t, "\nforwards\t%d\noutstanding\t%d\ndiscovered\t%d\nejected\t%d\nleft\t%d\n", s.Forwards,
+		s.Outstanding, s.Discovered, s.Ejected, s.Left)
+	return t.Flush()
+}
--- a/cmd/moorstack/operators_test.go
+++ b/cmd/moorstack/operators_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -94,6 +95,32 @@
 	o.dial().send("GET /_health HTTP/1.1\r\n\r\n").want(200, "")
 }
 
+// The command makes the same calls, and ends as the node says.
+func TestCallCommand(t *testing.T) {
+	o := newOperated(t, 1, done)
+	o.dial().send(job("a", "quote", "4000m", "x")).want(200, "")
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{o.admin, "status"}, 0, "ACK status\n"},
+		{[]string{o.admin, "maint-on", o.hops[0].name}, 0, "ACK maint-on s-0000\n"},
+		{[]string{o.admin, "maint-on", "nobody"}, 1, "NAK no trip worker of this id"},
+		{[]string{o.admin, "stats"}, 0, "quote  1          0         0\n"},
+		{[]string{o.admin, "stats", "--output", "json"}, 0, `"forwards":1`},
+		{[]string{o.admin, "stats", "--output", "xml"}, 2, "not table or json"},
+		{[]string{"127.0.0.1:1", "status"}, 1, "admin_addr"},
+		{[]string{o.admin}, 2, "between 2 and 3"},
+	} {
+		cmd := exec.Command(program, append([]string{"call"}, c.args...)...)
+		out, _ := cmd.CombinedOutput()
+		if code := cmd.ProcessState.ExitCode(); code != c.code || !strings.Contains(string(out), c.says) {
+			t.Errorf("call %q ended with %d and says %q", c.args, code, out)
+		}
+	}
+}
+
 // The figures agree with what the clients and the workers saw.
 func TestFigures(t *testing.T) {
 	hold := make(chan func(), 1)
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -57,6 +57,7 @@
 	root.PersistentFlags().StringVar(&g.logFormat, "log-format", "text", "form of the log: text or json")
 	root.AddCommand(
 		newVersion(),
+		newCall(),
 		newServe(&g),
 		newConfig(&g),
 		newCluster(&g),
