--- a/cmd/moorlab/demo.go
+++ b/cmd/moorlab/demo.go
@@ -194,14 +194,22 @@
 	var class string
 	var keyed bool
 	var timeout time.Duration
+	var find bool
+	var bound load.Bound
 	cmd := &cobra.Command{
 		Use:   "load ADDRESS",
 		Short: "Send jobs to a node on loopback at a steady rate, and measure",
 		Long: `load sends jobs to the node at ADDRESS, which must be on loopback, at random times with the
 given mean rate, whatever the node does. Latency counts from the time at which a job was
-meant to be sent. It is bounded in time and number and ends by itself.`,
-		Example: "  moorstack load 127.0.0.1:7070 --class trip-quote --rate 200 --for 30s --size 0.01",
-		Args:    cobra.ExactArgs(1),
+meant to be sent. It is bounded in time and number and ends by itself.
+
+With --find-max it looks for the highest rate that the node bears: from --rate on it
+doubles, then halves what is left, and runs for --for at each. A rate is borne if 99% of
+what is served comes within --p99 and no more than --unkept of the jobs are refused, fail,
+are lost or could not be sent in time.`,
+		Example: `  moorstack load 127.0.0.1:7070 --class trip-quote --rate 200 --for 30s --size 0.01
+  moorstack load 127.0.0.1:7070 --find-max --p99 50ms --rate 100 --for 5s --size 0.001`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			o.Address = args[0]
 			o.Classes = []load.Class{{Name: class, Weight: 1, Size: size, Timeout: timeout, Keyed: keyed}}
@@ -211,6 +219,9 @@
 				}
 				defer fmt.Fprint(os.Stderr, "\r\033[K")
 			}
+			if find {
+				return findMax(cmd, o, bound, output)
+			}
 			r, err := load.Run(cmd.Context(), o)
 			if r == nil {
 				return err
@@ -228,10 +239,37 @@
 	f.BoolVar(&keyed, "keyed", false, "the class's jobs carry a key")
 	f.Float64Var(&size, "size", 0.01, "mean seconds of work, told as the cost hint and in the body")
 	f.DurationVar(&timeout, "timeout", 5*time.Second, "how long a client waits")
+	f.BoolVar(&find, "find-max", false, "look for the highest rate that the node bears")
+	f.DurationVar(&bound.P99, "p99", 50*time.Millisecond, "with --find-max: the bound on latency")
+	f.Float64Var(&bound.Unkept, "unkept", 0.001, "with --find-max: the share of jobs that may not be served")
 	f.StringVar(&output, "output", "table", "form of the answer: table or json")
 	return cmd
 }
 
+// findMax prints each rate that is tried, and the highest that was borne.
+func findMax(cmd *cobra.Command, o load.Options, b load.Bound, output string) error {
+	o.Tick = nil
+	steps := []load.Step{}
+	tw := tabwriter.NewWriter(cmd.OutOrStdout(), 8, 0, 2, ' ', tabwriter.AlignRight)
+	if output != "json" {
+		fmt.Fprintln(tw, "RATE\tP99 MS\tNOT SERVED %\tBORNE\t")
+	}
+	rate, err := load.FindMax(cmd.Context(), o, b, 0.05, func(s load.Step) {
+		if steps = append(steps, s); output != "json" {
+			fmt.Fprintf(tw, "%.0f\t%.1f\t%.2f\t%v\t\n", s.Rate, s.P99, 100*s.Unkept, s.Borne)
+			_ = tw.Flush() // a row as soon as it is known; what can't be written now fails at the end
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if output == "json" {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(map[string]any{"rate": rate, "steps": steps})
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%.0f jobs a second are borne\n", rate)
+	return err
+}
+
 func printLoad(w io.Writer, r *load.Result, output string) error {
 	if output == "json" {
 		return json.NewEncoder(w).Encode(r)
