Play bans, replaced processes and grey failure in the model world

In the model world operators now take workers out, restart them and put them back at every node, processes of a node take each other's place with the real core's passing-on, and workers run one class slower while their reports look well. The watch holds a node to its bans whichever process it is.

--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -31,7 +31,7 @@
 			return
 		}
 		size, came, warm := sizes.ExpFloat64(), clock.now, made > jobs/10
-		k.Take("", size, true, func(brain.Result) {
+		k.Take("", "", size, true, func(brain.Result) {
 			if warm {
 				sum += (clock.now - came).Seconds() - size
 				n++
@@ -131,13 +131,15 @@
 		"heavy":       15,
 		"flood":       4,
 		"retry-storm": 5,
+		"grey":        8,
 	}
 	for kind := range kinds {
 		for seed := range uint64(6) {
 			sc := small(seed)
 			sc.Troubles = []Trouble{
 				{Kind: kind, At: Duration(8 * time.Second), For: Duration(10 * time.Second), Part: 0.3,
-					Size: size[kind], Zone: map[bool]string{true: "a"}[kind == "zone-lost"]},
+					Size: size[kind], Zone: map[bool]string{true: "a"}[kind == "zone-lost"],
+					Class: sc.Classes[0].Name},
 			}
 			w, err := New(sc)
 			if err != nil {
@@ -221,7 +223,7 @@
 		k.Crash()
 		k.Start()
 		for range 30 {
-			k.Take("", 1, aware, func(brain.Result) {})
+			k.Take("", "", 1, aware, func(brain.Result) {})
 		}
 		w.watch.end()
 		if said := len(w.watch.broken) > 0; !k.fell || said != aware {
@@ -324,3 +326,49 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Operators' bans hold while nodes are replaced and others die, and workers that come back
+// cold from them are not pushed over by two processes of a node.
+func TestOperationsWhileNodesAreReplaced(t *testing.T) {
+	for seed := range uint64(12) {
+		sc := small(seed)
+		sc.Troubles = []Trouble{
+			{Kind: "maintain", At: Duration(4 * time.Second), For: Duration(12 * time.Second), Part: 0.3},
+			{Kind: "replace", At: Duration(6 * time.Second), For: Duration(12 * time.Second), Part: 1},
+			{Kind: "stale", At: Duration(5 * time.Second), For: Duration(8 * time.Second), Size: 4},
+			{Kind: "replace", At: Duration(15 * time.Second), For: Duration(5 * time.Second), Part: 1},
+		}
+		r, err := Play(sc)
+		if err != nil || len(r.Violations) > 0 || r.Worth < 0.3 {
+			t.Errorf("seed %d: %v, %+v", seed, err, r.Violations)
+		}
+	}
+}
+
+// A send to a worker that is out is seen, also at the process that has taken over; the bans
+// of a node that dies alone end with it.
+func TestWatcherSeesBans(t *testing.T) {
+	w, err := New(small(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, k := w.nodes[0], w.workers[0]
+	old.ban(k.Name)
+	w.replace(old)
+	next := w.nodes[0]
+	r := &request{class: &w.sc.Classes[0]}
+	w.Clock.now += 900 * time.Millisecond
+	w.watch.sent(next, k, r)
+	if len(w.watch.broken) > 0 {
+		t.Fatal("within the second that the rule gives")
+	}
+	w.Clock.now += 200 * time.Millisecond
+	w.watch.sent(next, k, r)
+	if len(w.watch.broken) != 1 {
+		t.Fatalf("a send to a banned worker: %v", w.watch.broken)
+	}
+	next.kill()
+	if len(w.watch.bans) > 0 {
+		t.Error("the ban has outlived the node")
+	}
+}
--- a/internal/emulate/list.go
+++ b/internal/emulate/list.go
@@ -104,6 +104,10 @@
 		return
 	}
 	d.n.w.rows.lines += len(entries)
+	if kind != brain.Changes {
+		clear(d.n.known)
+	}
+	d.n.learn(entries)
 	d.n.w.watch.told(d.n, kind, entries)
 	d.n.core.RouteSet(kind, d.n.entries(entries))
 }
--- a/internal/emulate/storm.go
+++ b/internal/emulate/storm.go
@@ -9,7 +9,7 @@
 
 // sizes are what a random trouble's size is drawn from, by kind.
 var sizes = map[string][2]float64{"slow": {2, 10}, "errors": {0.3, 1}, "stale": {2, 10}, "heavy": {5, 30},
-	"flood": {2, 6}, "retry-storm": {2, 6}}
+	"grey": {3, 20}, "flood": {2, 6}, "retry-storm": {2, 6}}
 
 // RandomTroubles draws up to most troubles that fit the scenario, the same for a seed.
 func RandomTroubles(sc *Scenario, seed uint64, most int) []Trouble {
@@ -36,6 +36,9 @@
 		if t.Kind == "zone-lost" {
 			t.Zone = sc.Zones[rng.IntN(len(sc.Zones))]
 		}
+		if t.Kind == "grey" {
+			t.Class = sc.Classes[rng.IntN(len(sc.Classes))].Name
+		}
 		if t.Kind == "flood" {
 			t.Team = sc.Clients[rng.IntN(len(sc.Clients))].Team
 		}
--- a/internal/emulate/trouble.go
+++ b/internal/emulate/trouble.go
@@ -16,6 +16,8 @@
 	Size float64  `toml:"size"` // what it means depends on the kind
 	Zone string   `toml:"zone"`
 	Team string   `toml:"team"`
+
+	Class string `toml:"class"`
 }
 
 // kinds of trouble, and what Size means.
@@ -30,6 +32,9 @@
 	"list-down":   "",                              // the list service is down
 	"heavy":       "how many times a usual job",    // Part of the jobs are heavy
 	"flood":       "how many times the usual rate", // a team's clients, or all
+	"grey":        "how many times slower",         // workers run one class slower, and look well
+	"maintain":    "",                              // operators take workers out, restart them, put them back
+	"replace":     "",                              // nodes are replaced by another process while they serve
 	"zone-lost":   "",                              // all workers of a zone die at once
 	"retry-storm": "retries for each client",       // clients retry at once and heed nothing
 }
@@ -50,6 +55,10 @@
 	if t.Kind == "zone-lost" && !slices.Contains(s.Zones, t.Zone) {
 		return s.wrong("trouble", i, "zone-lost: there is no zone %q", t.Zone)
 	}
+	named := func(c ClassSpec) bool { return c.Name == t.Class }
+	if t.Kind == "grey" && !slices.ContainsFunc(s.Classes, named) {
+		return s.wrong("trouble", i, "grey: there is no class %q", t.Class)
+	}
 	return nil
 }
 
@@ -110,6 +119,14 @@
 			k.Start()
 			w.list.changed(k)
 		})
+	case "grey":
+		return w.each(w.some(t, rng),
+			func(k *Worker) { k.grey, k.greyBy = t.Class, t.Size },
+			func(k *Worker) { k.grey = "" })
+	case "maintain":
+		return w.maintain(t, rng)
+	case "replace":
+		w.inTurn(t, rng, w.replace)
 	case "restart":
 		w.restart(t, rng)
 	case "stale":
@@ -163,21 +180,26 @@
 	}
 }
 
-// restart has nodes die one after another over the time, each to come back a moment
-// later with the list that there was when it went.
-func (w *World) restart(t *Trouble, rng *rand.Rand) {
+// inTurn does something to a part of the nodes that run, one after another over the time.
+func (w *World) inTurn(t *Trouble, rng *rand.Rand, do func(n *Node)) {
 	order := rng.Perm(len(w.nodes))
 	hit := order[:min(max(int(t.Part*float64(len(order))+0.5), 1), len(order))]
 	for i, number := range hit {
-		n := w.nodes[number]
 		at := time.Duration(float64(t.For) * float64(i) / float64(len(hit)))
 		w.Clock.After(at, func() {
-			if n.down {
-				return
+			if n := w.nodes[number]; !n.down {
+				do(n)
 			}
-			known := w.list.snapshot(0)
-			n.kill()
-			w.Clock.After(time.Second, func() { n.start(known) })
 		})
 	}
 }
+
+// restart has nodes die one after another over the time, each to come back a moment
+// later with the list that there was when it went.
+func (w *World) restart(t *Trouble, rng *rand.Rand) {
+	w.inTurn(t, rng, func(n *Node) {
+		known := w.list.snapshot(0)
+		n.kill()
+		w.Clock.After(time.Second, func() { n.start(known) })
+	})
+}
--- a/internal/emulate/watch.go
+++ b/internal/emulate/watch.go
@@ -16,12 +16,13 @@
 	w      *World
 	drains map[string]time.Duration // by node and worker: since when it is told to drain or be gone
 	starts map[string]time.Duration // likewise: the last start that the node was told of
+	bans   map[ban]time.Duration    // since when operators have a worker out at a node
 	broken []string
 }
 
 func newWatcher(w *World) *watcher {
 	return &watcher{w: w, drains: map[string]time.Duration{},
-		starts: map[string]time.Duration{}}
+		starts: map[string]time.Duration{}, bans: map[ban]time.Duration{}}
 }
 
 func (v *watcher) violate(r *request, format string, args ...any) {
@@ -42,6 +43,39 @@
 	v.broken = append(v.broken, text)
 }
 
+// ban is a worker that operators have out at a node, whichever process that is.
+type ban struct {
+	node   int
+	worker string
+}
+
+func (v *watcher) banned(n *Node, worker string) {
+	if _, out := v.bans[ban{n.number, worker}]; !out {
+		v.bans[ban{n.number, worker}] = v.w.Clock.now
+	}
+}
+
+func (v *watcher) unbanned(n *Node, worker string) { delete(v.bans, ban{n.number, worker}) }
+
+// forget ends the bans of a node that dies, unless another process has taken its place.
+func (v *watcher) forget(n *Node) {
+	for b := range v.bans {
+		if b.node == n.number && !n.replaced {
+			delete(v.bans, b)
+		}
+	}
+}
+
+// passes has the process that takes a node's place be held to what the old one was told,
+// and when.
+func (v *watcher) passes(from, to *Node) {
+	for _, k := range v.w.workers {
+		if since, ok := v.drains[place(from, k.Name)]; ok {
+			v.drains[place(to, k.Name)] = since
+		}
+	}
+}
+
 func place(n *Node, name string) string { return fmt.Sprintf("%d/%d/%s", n.number, n.life, name) }
 
 // told notes what a node has been told of the list.
@@ -75,6 +109,10 @@
 			(now - since).Seconds(),
 		)
 	}
+	if since, ok := v.bans[ban{n.number, k.Name}]; ok && now-since > time.Second {
+		v.violate(r, "node %d sends to %s, which operators have out for %.3f s", n.number, k.Name,
+			(now - since).Seconds())
+	}
 	if len(r.outs) >= v.w.set.Limits.Attempts {
 		v.violate(r, "attempt %d", len(r.outs)+1)
 	}
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -41,6 +41,8 @@
 	down    bool
 	drains  bool
 	slow    float64 // a trouble: how many times slower
+	grey    string  // a trouble: the class that it runs greyBy times slower
+	greyBy  float64
 	failing float64 // a trouble: the share of jobs that fail at once
 	lossy   bool    // cut off: nothing comes in or goes out
 	report  brain.Report
@@ -202,7 +204,7 @@
 
 // Take takes a job, or hands it back by done(Full). What is returned gives it up. Aware says
 // that whoever sends it has been told of the worker's last start.
-func (w *Worker) Take(key string, size float64, aware bool, done func(brain.Result)) (giveUp func()) {
+func (w *Worker) Take(key, class string, size float64, aware bool, done func(brain.Result)) (giveUp func()) {
 	none := func() {}
 	if w.down || w.fell {
 		done(brain.ConnectFailed)
@@ -231,6 +233,9 @@
 	if w.pod != nil && key != "" {
 		w.pod.seen[key] = &repeat{at: w.clock.now}
 	}
+	if w.grey != "" && w.grey == class {
+		size *= w.greyBy // it takes longer; what the rule on cold ones counts is no more
+	}
 	t := &task{key: key, size: size, done: done, index: -1}
 	w.progress()
 	w.waiting = append(w.waiting, t)
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -122,6 +122,9 @@
 	gone   time.Duration // when it last went down
 
 	waiters []*waiter // clients that wait here, and some that do no more
+
+	known    map[string]core.Entry // the list as it was told
+	replaced bool                  // another process has taken its place
 }
 
 // nodeClock is the world's clock for one life of a node: what an earlier life set is void.
@@ -161,10 +164,21 @@
 	if n.core, err = core.New(set, seed, n.clock, dir, n.w.log); err != nil {
 		panic(fmt.Sprintf("emulate: a node can't be made: %v", err)) // check has tried it
 	}
+	n.known = map[string]core.Entry{}
+	n.learn(known)
 	n.w.watch.told(n, brain.Cached, known)
 	n.core.RouteSet(brain.Cached, n.entries(known))
 }
 
+// learn keeps what the node was told of the list.
+func (n *Node) learn(list []core.Entry) {
+	for _, e := range list {
+		if n.known[e.Name] = e; e.State == brain.Removed {
+			delete(n.known, e.Name)
+		}
+	}
+}
+
 // entries gives a list the links of this node.
 func (n *Node) entries(list []core.Entry) []core.Entry {
 	out := slices.Clone(list)
@@ -187,6 +201,7 @@
 func (n *Node) kill() {
 	n.down, n.gone = true, n.w.Clock.now
 	n.life++
+	n.w.watch.forget(n)
 	for _, c := range n.waiters {
 		if !c.over() {
 			// Their connections are reset.
@@ -236,7 +251,8 @@
 			key = j.key
 		}
 		life := l.worker.life
-		br.giveUp = l.worker.Take(key, j.size, aware, func(res brain.Result) { br.back(res, life) })
+		br.giveUp = l.worker.Take(key, j.class.Name, j.size, aware,
+			func(res brain.Result) { br.back(res, life) })
 	})
 	return br
 }
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -206,7 +206,8 @@
 			go w.callBack(id, res)
 		}
 		now = brain.Moot // not ended yet
-		giveUp := w.model.Take(r.Header.Get("Idempotency-Key"), size, true, done)
+		giveUp := w.model.Take(r.Header.Get("Idempotency-Key"), r.Header.Get("X-Priority-Class"), size,
+			true, done)
 		if atOnce = false; now == brain.Moot {
 			w.giveUp[id] = giveUp
 		}
