Have a third process wait for the first two, and lose no call-back beside a mute one

A new test with three processes found a job answered 502: the third was refused by both, after 2 s served at a socket of its own, and answered 204 to call-backs that it accepted for the others' jobs, which waited for them to the end. One that must serve beside a process that can't be spoken to answers 503 for 10 s to what it can't place: the worker calls again, and may reach the other. Not taken: refusing to serve beside it, which leaves the platform without its yes.

--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -92,8 +92,8 @@
 // Join asks the process that waits at the place for its state and its listening socket. It
 // returns ErrAlone at once if there is none, another error if it can't be had in time.
 func (p Place) Join(name, listen string) (*Offered, error) {
-	for end := time.Now().Add(JoinBy); ; time.Sleep(50 * time.Millisecond) {
-		o, err := p.join(name, listen, end)
+	for end := time.Now().Add(BusyBy); ; time.Sleep(50 * time.Millisecond) {
+		o, err := p.join(name, listen, time.Now().Add(JoinBy))
 		if !errors.Is(err, errBusy) || time.Now().After(end) {
 			return o, err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,9 +87,9 @@
 	n := &Node{loop: loop, log: o.Log, memory: memory}
 	var place handover.Place
 	var offered *handover.Offered
-	began := loop.Now()
+	began, strange := loop.Now(), false
 	if cfg.Upgrades() && o.Faktory == nil {
-		place, offered = join(cfg, o.Log)
+		place, offered, strange = join(cfg, o.Log)
 	}
 	if o.Faktory != nil {
 		// Its file may allow more than this node has.
@@ -117,6 +117,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if strange {
+		n.front.Stranger()
+	}
 	if cfg.Upgrades() && o.Faktory == nil {
 		if err := n.begin(place, offered, began); err != nil {
 			return nil, err
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -33,10 +33,12 @@
 var _ platform.Beside = (*upgrade)(nil)
 
 // join looks for a process whose place this one takes. Whatever is in the way, the node
-// starts: alone if no other is there, else beside it at a socket of its own.
-func join(cfg *platform.Config, log logrus.FieldLogger) (handover.Place, *handover.Offered) {
+// starts: alone if no other is there, else beside it at a socket of its own, and strange
+// is true.
+func join(cfg *platform.Config, log logrus.FieldLogger) (handover.Place, *handover.Offered, bool) {
 	place := handover.At(os.Getenv("TMPDIR"), cfg.Listen)
 	offered, err := place.Join(cfg.Name, cfg.Listen)
+	strange := err != nil && !errors.Is(err, handover.ErrAlone)
 	switch {
 	case errors.Is(err, handover.ErrAlone):
 	case err != nil:
@@ -44,7 +46,7 @@
 	default:
 		log.Info("taking the place of the process before this one")
 	}
-	return place, offered
+	return place, offered, strange
 }
 
 // begin sets the handover up for a node that is open. Offered is nil for one that found
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -180,7 +180,15 @@
 	switch {
 	case m.Method == "POST" && path == callBack:
 		c.hop = true
-		if c.front.event(body) || !c.front.relay(c, body) {
+		switch {
+		case c.front.event(body):
+			c.respond(204, "", nil)
+		case c.front.relay(c, body):
+		case c.front.loop.Now() < c.front.strangerUntil:
+			// Hazard: the process that shares the address, and can't be spoken to, waits for it.
+			// Called again, it may reach that one.
+			c.respond(503, "", nil)
+		default:
 			// Whatever it names, it has been heard: else it would be repeated.
 			c.respond(204, "", nil)
 		}
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -23,8 +23,17 @@
 	number  uint64
 	waiting map[uint64]*client  // next hops whose call-back is with the other
 	theirs  map[string]struct{} // transactions that are open there
+
+	strangerUntil time.Duration // there may be one that can't be spoken to
 }
 
+// strange is how long a process that can't be spoken to may share the address: the
+// platform ends it some 10 s after this one's start.
+const strange = 10 * time.Second
+
+// Stranger says that another process of the node may be there, and can't be spoken to.
+func (f *Front) Stranger() { f.strangerUntil = f.loop.Now() + strange }
+
 // relaying is how long the other process may take over a call-back. The next hop calls
 // again after that, as it does when nobody answers.
 const relaying = time.Second
