--- /dev/null
+++ b/internal/handover/link_test.go
@@ -0,0 +1,89 @@
+package handover
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"moorstack/internal/net"
+)
+
+// Messages come whole however they are cut; what can't be read ends the link, once.
+func TestLinkTakesPieces(t *testing.T) {
+	text := string((&Message{Type: IsTake}).Append(nil)) +
+		string((&Message{Type: IsCall, Number: 7, Body: []byte("a\nb")}).Append(nil)) +
+		string((&Message{Type: IsBegun, IDs: []string{"x"}}).Append(nil))
+	for _, size := range []int{1, 2, 3, 7, 50, len(text)} {
+		loop, err := net.New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		ended := 0
+		said := func(_ *Link, m *Message) { got = append(got, string(m.Type)+string(m.Body)) }
+		if _, err := Connect(loop, fds[0], said, func(*Link, error) {
+			ended++
+			loop.Stop()
+		}); err != nil {
+			t.Fatal(err)
+		}
+		loop.After(5*time.Second, loop.Stop)
+		go func() {
+			for rest := text + "{no message\n" + text; rest != ""; {
+				n, err := unix.Write(fds[1], []byte(rest[:min(size, len(rest))]))
+				if err != nil {
+					return // the other end has hung up, as it should
+				}
+				rest = rest[n:]
+			}
+		}()
+		if err := loop.Run(); err != nil {
+			t.Fatal(err)
+		}
+		unix.Close(fds[1])
+		if strings.Join(got, ",") != "take,calla\nb,begun" || ended != 1 {
+			t.Errorf("in pieces of %d: %q, and %d ends", size, got, ended)
+		}
+	}
+}
+
+// A message without end is not kept.
+func TestLinkIsBounded(t *testing.T) {
+	loop, err := net.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := false
+	if _, err := Connect(loop, fds[0], nil, func(*Link, error) {
+		ended = true
+		loop.Stop()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	loop.After(10*time.Second, loop.Stop)
+	go func() {
+		piece := []byte(strings.Repeat("x", 1<<16))
+		for sent := 0; sent < 2*MaxMessage; sent += len(piece) {
+			if _, err := unix.Write(fds[1], piece); err != nil {
+				return
+			}
+		}
+	}()
+	if err := loop.Run(); err != nil {
+		t.Fatal(err)
+	}
+	unix.Close(fds[1])
+	if !ended {
+		t.Error("a message without end is read on")
+	}
+}
