--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -31,8 +31,9 @@
 the client gets exactly one final answer.
 
 Without a sub-command it is the platform's node: BALANCER_CONFIG names its
-configuration in JSON, and BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY
-come before what that file says.`,
+configuration in JSON, and BALANCER_NAME, BALANCER_LISTEN, BALANCER_DISCOVERY and
+BALANCER_ADMIN_ADDR come before what that file says. Operators call at the last of
+these: see "moorstack call".`,
 		Example: `  BALANCER_CONFIG=deploy/example.json moorstack
   BALANCER_CONFIG=deploy/example.json moorstack --faktory deploy/faktory.toml`,
 		Args:          cobra.NoArgs,
