Give jobs that outlive the old process to the new one, with their clients' connections

The new one answers the first result, a failure once no attempt is left, and gives the job up if the client leaves. It begins no further attempt. Not taken: the whole transaction with what its attempts may have done, which would have to pass while call-backs come.

Tested with processes: four jobs over two upgrades in a row, result, loss, leaving client, id in use, no attempt twice.

--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -458,3 +458,61 @@
 	check(t, o.cmd.Wait())
 	o.cmd = cmd
 }
+
+// A job that runs for longer than the old process may live goes on at the new one, with its
+// client's connection: its result, its failure and its client's leaving find their way, also
+// over a second upgrade.
+func TestUpgradeGivesOpenJobsAway(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	held := make(chan seen, 4)
+	o := newOperated(t, 2, func(_ int, s seen, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		held <- s
+	})
+	u := &upgraded{operated: o}
+	jobs, out := map[string]*client{}, map[string]seen{}
+	for _, id := range []string{"done", "fails", "leaves", "done-late"} {
+		jobs[id] = o.dial().send(job(id, "book", "15000m", "x"))
+		out[id] = <-held
+	}
+	replace := func() {
+		t.Helper()
+		cmd, admin := u.start()
+		eventually(t, "the new process is ready", func() bool { return ready(admin) })
+		check(t, o.cmd.Process.Signal(syscall.SIGTERM))
+		began := time.Now()
+		check(t, o.cmd.Wait())
+		if took := time.Since(began); took > 3500*time.Millisecond {
+			t.Errorf("the old process took %v to end", took)
+		}
+		o.cmd, o.admin = cmd, admin
+	}
+	tell := func(id, state string) {
+		t.Helper()
+		if status := o.callBack(id, out[id].hop.name, state, "did"); status != 204 {
+			t.Errorf("the call-back of %s was answered %d", id, status)
+		}
+	}
+	replace()
+	if s := o.stats(); s.Outstanding != 4 {
+		t.Fatalf("the new process's figures: %+v", s)
+	}
+	tell("done", "done")
+	jobs["done"].want(200, "did")
+	tell("done", "done") // a second delivery
+	tell("fails", "lost")
+	jobs["fails"].want(502, "")
+	jobs["leaves"].Close()
+	eventually(t, "the job of a client that has left is given up",
+		func() bool { return o.calls("DELETE") == 1 })
+	o.dial().send(job("done-late", "book", "15000m", "x")).want(409, "")
+	replace()
+	tell("done-late", "done")
+	jobs["done-late"].want(200, "did")
+	if s := o.stats(); s.Outstanding != 0 || s.Results["book"].Succeeded != 1 {
+		t.Errorf("the last process's figures: %+v", s)
+	}
+	if n := o.calls("POST"); n != 4 {
+		t.Errorf("the workers got %d attempts of 4 jobs", n)
+	}
+}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -73,3 +73,34 @@
 	}
 	return ids
 }
+
+// Out is a branch that is out.
+type Out struct {
+	Hop     string
+	Running Running
+}
+
+// Outs gives the branches that are out of a transaction whose client waits, and when the
+// client gives up.
+func (c *Core) Outs(id string) (until time.Duration, outs []Out) {
+	t := c.open[brain.RequestID(id)]
+	if t == nil || t.client == nil {
+		return 0, nil
+	}
+	for _, b := range t.branches {
+		if !b.ended {
+			outs = append(outs, Out{b.hop.name, b.running})
+		}
+	}
+	return t.deadline, outs
+}
+
+// Leave ends a transaction here that goes on at another process, with what is out of it.
+func (c *Core) Leave(id string) {
+	if t := c.open[brain.RequestID(id)]; t != nil {
+		for _, b := range t.branches {
+			b.running = nil // nobody gives it up
+		}
+		c.Gone(id)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -209,10 +209,21 @@
 func Connect(loop *net.Loop, fd int, said func(*Link, *Message), gone func(*Link, error)) (*Link, error) {
 	l := &Link{said: said, gone: gone}
 	var err error
-	l.conn, err = loop.Adopt(fd, l)
+	if l.conn, err = loop.Adopt(fd, l); err == nil {
+		l.conn.Passing = true
+	}
 	return l, err
 }
 
+// Job sends an open job with its client's connection.
+func (l *Link) Job(j Job, fd int) error {
+	m := Message{Type: IsJob, Job: &j}
+	return l.conn.WriteFDs(m.Append(nil), fd)
+}
+
+// TakeFD gives the descriptor that came with the message just read.
+func (l *Link) TakeFD() (int, bool) { return l.conn.TakeFD() }
+
 // Send sends a message.
 func (l *Link) Send(m Message) { l.conn.Write(m.Append(nil)) }
 
--- a/internal/handover/machine.go
+++ b/internal/handover/machine.go
@@ -54,11 +54,12 @@
 
 // How long a process waits for the other.
 const (
-	JoinBy = 2 * time.Second         // the new one: for the state
-	BusyBy = 5 * time.Second         // a third one: for the first two to settle
-	TakeBy = 6 * time.Second         // the old one: for the successor to serve; the platform gives it as long
-	LetBy  = time.Second             // the new one: for the old one to let go
-	Spare  = 3500 * time.Millisecond // the new one, from its start: for the old one to work off what it has
+	JoinBy    = 2 * time.Second         // the new one: for the state
+	BusyBy    = 5 * time.Second         // a third one: for the first two to settle
+	TakeBy    = 6 * time.Second         // the old one: for the successor to serve, as long as the platform
+	GiveAfter = 2500 * time.Millisecond // the old one, from SIGTERM: until it gives its open jobs away
+	LetBy     = time.Second             // the new one: for the old one to let go
+	Spare     = 3500 * time.Millisecond // the new one, from its start: for the old one's jobs
 )
 
 // Machine is the state machine of one process.
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -32,6 +32,7 @@
 	IsBegun  Type = "begun" // ids of transactions that the other must not begin
 	IsHeld   Type = "held"  // what the old process has unfinished, by next hop
 	IsBan    Type = "ban"   // an operator's word
+	IsJob    Type = "job"   // an open job, with its client's connection
 )
 
 // Message is a line of JSON.
@@ -47,6 +48,7 @@
 	Body    []byte   `json:"body,omitempty"`
 	Found   bool     `json:"found,omitempty"`
 	Ban     *Ban     `json:"ban,omitempty"`
+	Job     *Job     `json:"job,omitempty"`
 
 	Held map[string]float64 `json:"held,omitempty"`
 }
@@ -70,6 +72,14 @@
 	Ended time.Duration `json:"ended,omitempty"` // when it was put back
 }
 
+// Job is an open job, all of whose attempts were accepted by a next hop.
+type Job struct {
+	ID    string        `json:"id"`
+	Class int           `json:"class"`
+	Until time.Duration `json:"until"` // when its client gives up
+	Hops  []string      `json:"hops"`  // that have it
+}
+
 // errVersion says that the other process speaks another version.
 var errVersion = errors.New("another version")
 
@@ -82,7 +92,8 @@
 	if (m.Type == IsHello || m.Type == IsState) && m.Version != Version {
 		return nil, fmt.Errorf("%w: %d, and this process speaks %d", errVersion, m.Version, Version)
 	}
-	if m.Type == IsState && m.State == nil || m.Type == IsBan && m.Ban == nil {
+	if m.Type == IsState && m.State == nil || m.Type == IsBan && m.Ban == nil ||
+		m.Type == IsJob && m.Job == nil {
 		return nil, fmt.Errorf("a message of type %q without what it is for", m.Type)
 	}
 	return &m, nil
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -79,6 +79,10 @@
 	// Sent, where it is set, is called once when the kernel has taken all that was written.
 	Sent func()
 
+	// Passing has descriptors that come along on a Unix socket be kept for TakeFD.
+	Passing bool
+	fds     []int
+
 	connecting, closed, closing bool
 	events                      uint32
 	lost                        int // output that the kernel had not taken at the end
@@ -283,6 +287,10 @@
 	c.lost, c.closed = c.Unsent(), true
 	c.loop.sources.Remove(c.id)
 	unix.Close(c.fd) // leaves the epoll set, too
+	for _, fd := range c.fds {
+		unix.Close(fd)
+	}
+	c.fds = nil
 	c.timer.Stop()
 	if ln := c.from; ln != nil {
 		ln.open--
@@ -376,7 +384,7 @@
 		c.buf = append(make([]byte, 0, room), c.buf...)
 		c.count()
 	}
-	n, err := unix.Read(c.fd, c.buf[c.mid:min(cap(c.buf), most+1024)])
+	n, err := c.receive(c.buf[c.mid:min(cap(c.buf), most+1024)])
 	switch {
 	case err != nil:
 		if !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
@@ -400,6 +408,47 @@
 	}
 }
 
+// receive reads, and takes the descriptors that come along, where they are wanted.
+func (c *Conn) receive(p []byte) (int, error) {
+	if !c.Passing {
+		return unix.Read(c.fd, p)
+	}
+	var oob [64]byte
+	n, on, _, _, err := unix.Recvmsg(c.fd, p, oob[:], unix.MSG_CMSG_CLOEXEC)
+	if err != nil || on == 0 {
+		return n, err
+	}
+	messages, err := unix.ParseSocketControlMessage(oob[:on])
+	for i := range messages {
+		if fds, err := unix.ParseUnixRights(&messages[i]); err == nil {
+			c.fds = append(c.fds, fds...)
+		}
+	}
+	return n, err
+}
+
+// TakeFD gives the descriptor that came first and was not taken yet; the caller owns it.
+func (c *Conn) TakeFD() (int, bool) {
+	if len(c.fds) == 0 {
+		return -1, false
+	}
+	fd := c.fds[0]
+	c.fds = c.fds[1:]
+	return fd, true
+}
+
+// FD is the connection's socket, to be given to another process.
+func (c *Conn) FD() int { return c.fd }
+
+// Detach closes this process's descriptor alone: the connection goes on at another one's.
+func (c *Conn) Detach() {
+	if !c.closed {
+		// Hazard: closed here, it stays in the epoll set for as long as the other has it.
+		_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_DEL, c.fd, nil)
+		c.Close()
+	}
+}
+
 // end is the end from the other side.
 func (c *Conn) end(err error) {
 	if c.Close(); !c.closing {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -234,6 +234,17 @@
 	return ln, nil
 }
 
+// Adopt takes over a connection that another process accepted, with its message worked on.
+func (ln *Listener) Adopt(fd int, h Handler) (*Conn, error) {
+	c, err := ln.loop.Adopt(fd, h)
+	if err != nil {
+		return nil, err
+	}
+	ln.open++
+	c.from, c.standing, c.heard = ln, taken, ln.loop.Now()
+	return c, nil
+}
+
 // FD is the listening socket, to be given to another process.
 func (ln *Listener) FD() int { return ln.fd }
 
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -141,6 +141,15 @@
 		u.front.Heard(m.Number)
 	case handover.IsBegun:
 		u.front.Theirs(m.IDs)
+	case handover.IsJob:
+		fd, ok := l.TakeFD()
+		if !ok {
+			u.log.Error("an open job came without its client's connection")
+			return
+		}
+		if err := u.front.Foster(m.Job, fd); err != nil {
+			u.log.WithError(err).Error("an open job is lost")
+		}
 	case handover.IsHeld:
 		u.cores[0].Beside(m.Held)
 	case handover.IsBan:
@@ -247,6 +256,11 @@
 		u.held = held
 		u.link.Send(handover.Message{Type: handover.IsHeld, Held: held})
 	}
+	if end := u.front.Ends(); end > 0 && u.loop.Now() >= end+handover.GiveAfter {
+		if n := u.front.GiveAway(u.link.Job); n > 0 {
+			u.log.WithField("jobs", n).Info("open jobs are the other process's now")
+		}
+	}
 	if u.front.Alone() {
 		u.link.Send(handover.Message{Type: handover.IsEmpty})
 		return
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -48,10 +48,14 @@
 	if !f.drain.End(f.loop.Now()) {
 		return
 	}
+	f.ends = f.loop.Now()
 	f.steer()
 	f.loop.At(f.drain.At(), func() { f.finish(f.loop.Now()+half, done) })
 }
 
+// Ends is when the process was asked to end; 0: it was not.
+func (f *Front) Ends() time.Duration { return f.ends }
+
 // steer closes idle connections once the notice is over.
 func (f *Front) steer() {
 	f.loop.At(f.drain.At(), func() {
--- a/internal/platform/figures.go
+++ b/internal/platform/figures.go
@@ -17,6 +17,6 @@
 	for i := range names {
 		names[i] = f.cfg.Settings.Classes[i].Name
 	}
-	return f.counts.Append(dst, names, figures.Now{Outstanding: f.core.Waiting(),
+	return f.counts.Append(dst, names, figures.Now{Outstanding: f.core.Waiting() + len(f.fosters),
 		Discovered: f.core.Discovered(), Ejected: f.core.Ejected()})
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,11 +32,13 @@
 	names    names
 	log      logrus.FieldLogger
 	listener *net.Listener
-	relays                   // what passes between this process and one beside it
-	lines    map[string]line // the list, as discovery words it
+	relays                      // what passes between this process and one beside it
+	lines    map[string]line    // the list, as discovery words it
+	fosters  map[string]*client // jobs that another process took, by their ids
 	hops     map[string]*nextHop
 	clients  map[*client]struct{}
 	drain    drain.Drain
+	ends     time.Duration // when the process was asked to end
 	counts   figures.Counts
 	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
@@ -48,6 +50,7 @@
 	f := &Front{loop: loop, cfg: cfg, names: namesOf(&cfg.Settings), log: log, hops: map[string]*nextHop{},
 		clients: map[*client]struct{}{}}
 	f.brokeAt = -mistrust
+	f.fosters = map[string]*client{}
 	f.lines, f.relays.waiting = map[string]line{}, map[uint64]*client{}
 	f.counts.Classes = make([]figures.Class, len(cfg.Settings.Classes))
 	f.dir = &directory{front: f, generation: cfg.Known.Generation}
@@ -104,6 +107,9 @@
 	asked bool // a 100 has been sent for the request being read
 	hop   bool // it is a next hop's, which calls back on it
 
+	foster *foster       // of a job that another process took
+	until  time.Duration // when its client gives up
+
 	opened time.Duration
 	used   bool // a whole message has come on it
 }
@@ -390,6 +396,10 @@
 	if c.gone(); c.waits {
 		c.waits = false
 		c.front.counts.Left++
+		if c.foster != nil {
+			c.front.abandon(c)
+			return
+		}
 		c.front.core.Gone(c.id)
 	}
 }
@@ -414,6 +424,9 @@
 		f.log.WithError(err).Warn("a call-back that can't be read")
 		return true
 	}
+	if f.fostered(e.ID, e.From, e.State, e.Result) {
+		return true
+	}
 	report := brain.NoReport
 	for name, v := range e.Load {
 		f.names.report.Set(&report, name, v)
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -78,7 +78,7 @@
 
 // elsewhere says that the other process has a transaction of this id open.
 func (f *Front) elsewhere(id string) bool {
-	if _, open := f.theirs[id]; open {
+	if _, open := f.theirs[id]; open || f.fosters[id] != nil {
 		return true
 	}
 	if f.beside != nil {
