Say things once in the hand-over's tests, and drop a field that nobody reads

Read again: whether a call-back had been found crossed between the two processes and was read by nobody, as the answer to the worker is the same; it is gone. No behaviour changed.

--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -10,20 +10,26 @@
 	"moorstack/internal/net"
 )
 
+// pair is a loop, and a connection of which it is to have the first end.
+func pair(t *testing.T) (*net.Loop, [2]int) {
+	loop, err := net.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loop, fds
+}
+
 // Messages come whole however they are cut; what can't be read ends the link, once.
 func TestLinkTakesPieces(t *testing.T) {
 	text := string((&Message{Type: IsTake}).Append(nil)) +
 		string((&Message{Type: IsCall, Number: 7, Body: []byte("a\nb")}).Append(nil)) +
 		string((&Message{Type: IsBegun, IDs: []string{"x"}}).Append(nil))
 	for _, size := range []int{1, 2, 3, 7, 50, len(text)} {
-		loop, err := net.New()
-		if err != nil {
-			t.Fatal(err)
-		}
-		fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
+		loop, fds := pair(t)
 		var got []string
 		ended := 0
 		said := func(_ *Link, m *Message) { got = append(got, string(m.Type)+string(m.Body)) }
@@ -55,14 +61,7 @@
 
 // A message without end is not kept.
 func TestLinkIsBounded(t *testing.T) {
-	loop, err := net.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	loop, fds := pair(t)
 	ended := false
 	if _, err := Connect(loop, fds[0], nil, func(*Link, error) {
 		ended = true
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -46,7 +46,6 @@
 	IDs     []string `json:"ids,omitempty"` // of taken and begun
 	Number  uint64   `json:"n,omitempty"`   // of a call, and of what became of it
 	Body    []byte   `json:"body,omitempty"`
-	Found   bool     `json:"found,omitempty"`
 	Ban     *Ban     `json:"ban,omitempty"`
 	Job     *Job     `json:"job,omitempty"`
 
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -136,7 +136,8 @@
 	case handover.IsEmpty:
 		u.step(handover.Empty)
 	case handover.IsCall:
-		u.link.Send(handover.Message{Type: handover.IsHeard, Number: m.Number, Found: u.front.Called(m.Body)})
+		u.front.Called(m.Body)
+		u.link.Send(handover.Message{Type: handover.IsHeard, Number: m.Number})
 	case handover.IsHeard:
 		u.front.Heard(m.Number)
 	case handover.IsBegun:
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -72,9 +72,9 @@
 	f.loop.After(0, func() { c.Data(c.conn) }) // the next one may be in the buffer
 }
 
-// Called takes a call-back that the other process got, and reports whether it was for a
-// branch of ours.
-func (f *Front) Called(body []byte) bool { return f.event(body) }
+// Called takes a call-back that the other process got. If nobody knows it, calling again
+// would not help.
+func (f *Front) Called(body []byte) { f.event(body) }
 
 // elsewhere says that the other process has a transaction of this id open.
 func (f *Front) elsewhere(id string) bool {
