Give a cold worker of a kind with no warm record the least kind's rate

Change: coldRoom takes the warm rate of the worker's own kind where there is one, else the least of the kinds that have one. Test: a dispatcher that knows only kind 1 gives the new kind-0 workers jobs within rule 4 in their first five seconds; with the borrowing removed, it fails.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -541,8 +541,7 @@
 	if warmth == 1 || rules.OverloadFactor <= 0 || rules.Fall <= 0 {
 		return true
 	}
-	rate := b.loads[w.Kind].work / max(b.loads[w.Kind].seconds, tiny)
-	part := chance * rules.OverloadFactor * warmth * rate * rules.Fall.Seconds()
+	part := chance * rules.OverloadFactor * warmth * b.warmRate(w.Kind) * rules.Fall.Seconds()
 	// Hazard: the part of one of many dispatchers is less than a job, and all leave the worker idle; or
 	// they save their parts up, and all send at once when other workers go. Such a job needs as many
 	// windows as make the part large enough, and goes only in this dispatcher's turn among as many, by the
@@ -567,6 +566,23 @@
 	return part > 0 && sum <= part*float64(windows)
 }
 
+// warmRate is the work that a warm worker of kind k finishes from this dispatcher each second.
+//
+// Hazard: a release replaces every worker of a kind, and a dispatcher that starts then has no record of
+// it, nor a warm one to make it: all of them stay idle until warm. The kind that takes least stands in.
+func (b *Balancer) warmRate(k int) float64 {
+	if l := b.loads[k]; l.work > 0 {
+		return l.work / max(l.seconds, tiny)
+	}
+	least := 0.0
+	for _, l := range b.loads {
+		if r := l.work / max(l.seconds, tiny); l.work > 0 && (least == 0 || r < least) {
+			least = r
+		}
+	}
+	return least
+}
+
 // cost is the work that a request is expected to be, in slot seconds.
 func (b *Balancer) cost(q *request) float64 { return b.expect(q) * q.size() }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -342,6 +342,47 @@
 	}
 }
 
+// Rule 4 and the release that replaces a whole kind: a dispatcher that has seen only warm workers of
+// another kind gives the new ones work within what the rule allows, not nothing until they are warm.
+func TestColdKindWithoutRecordBorrows(t *testing.T) {
+	set := testSettings()
+	set.Kinds = 2
+	r := newRecorder(t, set)
+	warm := fleet(4)
+	for i := range warm {
+		warm[i].Kind = 1
+	}
+	r.members(Whole, warm...)
+	n, got := 0, 0
+	step := func(gap time.Duration) {
+		r.request(hinted(n))
+		n++
+		if w := r.last().w; w == 10 || w == 11 {
+			got++
+		}
+		r.pass(gap)
+		for i := range r.sends {
+			if s := &r.sends[i]; !s.ended && r.now-s.at >= 90*time.Millisecond {
+				r.end(s, OK)
+			}
+		}
+	}
+	for range 400 { // four warm workers of kind 1, capacity 1, bear 0.8 each
+		step(31 * time.Millisecond)
+	}
+	// The release: two of kind 0, which this dispatcher has never seen, take the place of two.
+	news := []Worker{{ID: 10, Kind: 0, State: Ready, Since: r.now, Size: 1},
+		{ID: 11, Kind: 0, State: Ready, Since: r.now, Size: 1}}
+	r.members(Whole, append(warm[:2:2], news...)...)
+	r.work[10].limit, r.work[11].limit = 1, 1
+	for range 160 { // five seconds: half of Cold, so that no worker of kind 0 is warm meanwhile
+		step(31 * time.Millisecond)
+	}
+	if got == 0 {
+		t.Error("no worker of the kind without a record got a job while it warmed up")
+	}
+}
+
 // Without any load seen, a cold worker's budget is nothing.
 func TestColdWorkerWithoutKnowledge(t *testing.T) {
 	r := newRecorder(t, testSettings())
