Hold a cold worker's budget to at least what its kind's reported slots bear

Cause (docs/cold-kinds.md): the budget followed what warm workers happened to take, so cold ones stood idle while warm ones queued and the node refused.

Change: warmRate is the larger of the kind's record and this dispatcher's part of what the kind's reported slots bear at its pace; with no record of any kind it stays nothing. Test: warm workers far from full, then a second of more than they bear; a cold worker gets 19 jobs within rule 4, 6 by the record alone, and the test fails with the floor removed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -570,9 +570,13 @@
 //
 // Hazard: a release replaces every worker of a kind, and a dispatcher that starts then has no record of
 // it, nor a warm one to make it: all of them stay idle until warm. The kind that takes least stands in.
+//
+// Hazard: where warm ones are not full, what they take is less than they bear, and cold ones stand idle
+// while warm ones queue. This dispatcher's part of what the kind's reported slots bear is the least.
 func (b *Balancer) warmRate(k int) float64 {
+	bears := b.slots[k] / max(b.paces[k], tiny) / float64(max(b.set.Fleet, 1))
 	if l := b.loads[k]; l.work > 0 {
-		return l.work / max(l.seconds, tiny)
+		return max(l.work/max(l.seconds, tiny), bears)
 	}
 	least := 0.0
 	for _, l := range b.loads {
@@ -580,7 +584,10 @@
 			least = r
 		}
 	}
-	return least
+	if least == 0 {
+		return 0 // hazard: nothing seen of any kind, and a report alone is no record of load
+	}
+	return max(least, bears)
 }
 
 // cost is the work that a request is expected to be, in slot seconds.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -383,6 +383,40 @@
 	}
 }
 
+// Rule 4 where warm workers are far from full: a cold worker's budget is what its kind's reported
+// slots bear, and not only the little that warm ones happen to take; it is kept all the same.
+func TestColdBudgetByWhatSlotsBear(t *testing.T) {
+	r := newRecorder(t, testSettings())
+	r.members(Whole, fleet(4)...)
+	n := 0
+	step := func(gap time.Duration) WorkerID {
+		r.request(hinted(n))
+		n++
+		r.pass(gap)
+		for i := range r.sends {
+			if s := &r.sends[i]; !s.ended && r.now-s.at >= 90*time.Millisecond {
+				r.endWith(s, OK, freeSlots(4))
+			}
+		}
+		return r.last().w
+	}
+	for range 100 { // four warm workers of four slots take a tenth of a slot each
+		step(250 * time.Millisecond)
+	}
+	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+	r.work[200].limit = 4 // slot-seconds a second, when warm: what the recorder holds it to
+	got := 0
+	for range 200 { // a second of more than the warm ones bear: what they took tells too little
+		if step(5*time.Millisecond) == 200 {
+			got++
+		}
+	}
+	// By what warm ones took alone, this second gives it 6 jobs; by what their slots bear, 19.
+	if got < 12 {
+		t.Errorf("the cold worker got %d jobs while warm ones queued; want 12 or more", got)
+	}
+}
+
 // Without any load seen, a cold worker's budget is nothing.
 func TestColdWorkerWithoutKnowledge(t *testing.T) {
 	r := newRecorder(t, testSettings())
