--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -305,34 +305,32 @@
 	}
 }
 
+// drive sends n hinted jobs gap apart from job from on, ends each attempt after 90 ms with rep,
+// and counts the jobs that each worker got.
+func drive(r *recorder, from, n int, gap time.Duration, rep Report) map[WorkerID]int {
+	got := map[WorkerID]int{}
+	for i := range n {
+		r.request(hinted(from + i))
+		got[r.last().w]++
+		r.pass(gap)
+		for j := range r.sends {
+			if s := &r.sends[j]; !s.ended && r.now-s.at >= 90*time.Millisecond {
+				r.endWith(s, OK, rep)
+			}
+		}
+	}
+	return got
+}
+
 // Rule 4: a rush on a worker that has just started, for a dispatcher that knows what warm ones bear.
 func TestColdWorkerIsNotRushed(t *testing.T) {
 	set := testSettings()
 	r := newRecorder(t, set)
 	r.members(Whole, fleet(4)...)
-	n, got := 0, 0
-	step := func(gap time.Duration) {
-		r.request(hinted(n))
-		n++
-		if r.last().w == 200 {
-			got++
-		}
-		r.pass(gap)
-		for i := range r.sends {
-			if s := &r.sends[i]; !s.ended && r.now-s.at >= 90*time.Millisecond {
-				r.end(s, OK)
-			}
-		}
-	}
-	for range 400 { // four warm workers of capacity 1 bear 0.8 each
-		step(31 * time.Millisecond)
-	}
+	drive(r, 0, 400, 31*time.Millisecond, NoReport) // four warm workers of capacity 1 bear 0.8 each
 	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now})
 	r.work[200].limit = 1
-	for range 400 {
-		step(25 * time.Millisecond)
-	}
-	if got == 0 {
+	if drive(r, 400, 400, 25*time.Millisecond, NoReport)[200] == 0 {
 		t.Error("the new worker never got a job while it warmed up")
 	}
 	// Hazard: what was sent to it is gone through at each request, and must not grow with its age.
@@ -353,32 +351,12 @@
 		warm[i].Kind = 1
 	}
 	r.members(Whole, warm...)
-	n, got := 0, 0
-	step := func(gap time.Duration) {
-		r.request(hinted(n))
-		n++
-		if w := r.last().w; w == 10 || w == 11 {
-			got++
-		}
-		r.pass(gap)
-		for i := range r.sends {
-			if s := &r.sends[i]; !s.ended && r.now-s.at >= 90*time.Millisecond {
-				r.end(s, OK)
-			}
-		}
-	}
-	for range 400 { // four warm workers of kind 1, capacity 1, bear 0.8 each
-		step(31 * time.Millisecond)
-	}
-	// The release: two of kind 0, which this dispatcher has never seen, take the place of two.
-	news := []Worker{{ID: 10, Kind: 0, State: Ready, Since: r.now, Size: 1},
-		{ID: 11, Kind: 0, State: Ready, Since: r.now, Size: 1}}
-	r.members(Whole, append(warm[:2:2], news...)...)
+	drive(r, 0, 400, 31*time.Millisecond, NoReport)
+	news := []Worker{{ID: 10, State: Ready, Since: r.now, Size: 1}, {ID: 11, State: Ready, Since: r.now, Size: 1}}
+	r.members(Whole, append(warm[:2:2], news...)...) // two of kind 0, never seen, take two places
 	r.work[10].limit, r.work[11].limit = 1, 1
-	for range 160 { // five seconds: half of Cold, so that no worker of kind 0 is warm meanwhile
-		step(31 * time.Millisecond)
-	}
-	if got == 0 {
+	// Five seconds: half of Cold, so that no worker of kind 0 is warm meanwhile.
+	if got := drive(r, 400, 160, 31*time.Millisecond, NoReport); got[10]+got[11] == 0 {
 		t.Error("no worker of the kind without a record got a job while it warmed up")
 	}
 }
@@ -388,31 +366,12 @@
 func TestColdBudgetByWhatSlotsBear(t *testing.T) {
 	r := newRecorder(t, testSettings())
 	r.members(Whole, fleet(4)...)
-	n := 0
-	step := func(gap time.Duration) WorkerID {
-		r.request(hinted(n))
-		n++
-		r.pass(gap)
-		for i := range r.sends {
-			if s := &r.sends[i]; !s.ended && r.now-s.at >= 90*time.Millisecond {
-				r.endWith(s, OK, freeSlots(4))
-			}
-		}
-		return r.last().w
-	}
-	for range 100 { // four warm workers of four slots take a tenth of a slot each
-		step(250 * time.Millisecond)
-	}
+	drive(r, 0, 100, 250*time.Millisecond, freeSlots(4)) // four slots each; a tenth of one is taken
 	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
 	r.work[200].limit = 4 // slot-seconds a second, when warm: what the recorder holds it to
-	got := 0
-	for range 200 { // a second of more than the warm ones bear: what they took tells too little
-		if step(5*time.Millisecond) == 200 {
-			got++
-		}
-	}
-	// By what warm ones took alone, this second gives it 6 jobs; by half what their slots bear, 18.
-	if got < 12 {
+	// A second of more than the warm ones bear: by what they took alone the cold worker gets 6
+	// jobs; by half what their slots bear, 18.
+	if got := drive(r, 100, 200, 5*time.Millisecond, freeSlots(4))[200]; got < 12 {
 		t.Errorf("the cold worker got %d jobs while warm ones queued; want 12 or more", got)
 	}
 }
