--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,6 +17,7 @@
 	// a running time or a report in an answer; a quarter of it that of one worker's own times.
 	blend, slow = 0.3, 0.08
 	chance      = 0.5  // the part of a cold worker's budget that is used: a window can meet two turns
+	byslots     = 0.5  // the part of what reported slots bear that is trusted: slots may outnumber cores
 	outlier     = 4    // how many usual running times a single one may count for
 	suspect     = 0.25 // how ill a worker left out is; for an unsafe job, which an error loses, half
 	drain       = 2    // how fast a wait seen is taken to shorten; figures are flat from 2 to 8
@@ -575,7 +576,7 @@
 // while warm ones queue. Half this dispatcher's part of what the kind's reported slots bear is the
 // least: slots may be more than cores, and at the whole the model world pushed a cold worker over.
 func (b *Balancer) warmRate(k int) float64 {
-	bears := b.slots[k] / max(b.paces[k], tiny) / float64(max(b.set.Fleet, 1)) / 2
+	bears := byslots * b.slots[k] / max(b.paces[k], tiny) / float64(max(b.set.Fleet, 1))
 	if l := b.loads[k]; l.work > 0 {
 		return max(l.work/max(l.seconds, tiny), bears)
 	}
