--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -352,7 +352,8 @@
 	}
 	r.members(Whole, warm...)
 	drive(r, 0, 400, 31*time.Millisecond, NoReport)
-	news := []Worker{{ID: 10, State: Ready, Since: r.now, Size: 1}, {ID: 11, State: Ready, Since: r.now, Size: 1}}
+	news := []Worker{{ID: 10, State: Ready, Since: r.now, Size: 1},
+		{ID: 11, State: Ready, Since: r.now, Size: 1}}
 	r.members(Whole, append(warm[:2:2], news...)...) // two of kind 0, never seen, take two places
 	r.work[10].limit, r.work[11].limit = 1, 1
 	// Five seconds: half of Cold, so that no worker of kind 0 is warm meanwhile.
