Keep the tests' free addresses from children that are between fork and exec

The checks failed once on TestOutcomes/500_quote: connection reset by peer after 0.00 s, with no line 'serving' from its node. Ruled out: the node (it had not begun to listen yet), a self-connect (the two addresses differ), a port given twice. Cause: the listener that finds a free port was inherited by a child of another parallel test, which keeps it open until its exec; the wait for 'the node listens' met that copy, and was reset when it went.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -62,7 +62,13 @@
 // freeAddress gives a port that is free on a loopback address of its own. Tests that
 // run side by side were seen to be given the same port of 127.0.0.1 one after the
 // other, and to speak to one node.
+//
+// Hazard: a process that another test starts meanwhile holds a copy of the listening socket
+// until it has run exec. Whoever then waits for the node to listen is taken in by the copy,
+// and reset when it goes. With the lock no process is started while the socket is open.
 func freeAddress(t *testing.T) string {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	host := fmt.Sprintf("127.%d.%d.1", 10+os.Getpid()%200, addresses.Add(1)%250)
 	l, err := net.Listen("tcp", host+":0")
 	check(t, err)
