--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,8 +16,8 @@
 	// blend is the weight of a new success, failure or probe's report, slow that of what varies far more:
 	// a running time or a report in an answer; a quarter of it that of one worker's own times.
 	blend, slow = 0.3, 0.08
-	chance      = 0.5  // the part of a cold worker's budget that is used: a window can meet two turns
-	byslots     = 0.5  // the part of what reported slots bear that is trusted: slots may outnumber cores
+	doubt       = 4    // seconds of full workers that count for as much as all that was seen of a kind
+	nearly      = 0.25 // the part of its slots that a full worker may have free
 	outlier     = 4    // how many usual running times a single one may count for
 	suspect     = 0.25 // how ill a worker left out is; for an unsafe job, which an error loses, half
 	drain       = 2    // how fast a wait seen is taken to shorten; figures are flat from 2 to 8
@@ -306,7 +306,7 @@
 		return
 	}
 	if b.warmth(now, w) == 1 {
-		b.loads[w.Kind].work += b.cost(q)
+		b.loads[w.Kind].add(b.effort(q), 0, w.full)
 	}
 	ran := (now - max(t.sent, t.start)).Seconds()
 	usual := &b.usual[q.Class]
@@ -338,6 +338,7 @@
 		return
 	}
 	b.slots[w.Kind] = max(b.slots[w.Kind], r.FreeSlots)
+	w.full = r.FreeSlots <= nearly*b.slots[w.Kind]
 	held := b.slots[w.Kind] - r.FreeSlots + max(r.Queue, 0)
 	weight := slow
 	if b.set.ReportProbed {
@@ -516,7 +517,7 @@
 			return false
 		}
 	}
-	return b.coldRoom(now, w, b.cost(q))
+	return b.coldRoom(now, w, b.effort(q))
 }
 
 // mayGoOn reports whether the budget of further attempts has room for one more.
@@ -542,20 +543,21 @@
 	if warmth == 1 || rules.OverloadFactor <= 0 || rules.Fall <= 0 {
 		return true
 	}
-	part := chance * rules.OverloadFactor * warmth * b.warmRate(w.Kind) * rules.Fall.Seconds()
+	part := rules.OverloadFactor * warmth * b.warmRate(w.Kind) * rules.Fall.Seconds()
 	// Hazard: the part of one of many dispatchers is less than a job, and all leave the worker idle; or
 	// they save their parts up, and all send at once when other workers go. Such a job needs as many
 	// windows as make the part large enough, and goes only in this dispatcher's turn among as many, by the
 	// worker's age, which all know alike.
-	windows := 1
-	for part*float64(windows) < work {
+	n := float64(b.set.Fleet)
+	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two dispatchers' turns beside the others' steady parts
+	windows, used := 1, steady
+	for part*used*float64(windows) < work {
 		if windows >= b.set.Fleet {
 			return false
 		}
-		windows = min(2*windows, b.set.Fleet)
+		windows, used = min(2*windows, b.set.Fleet), (1-steady*(n-2)/n)/2
 	}
-	turn := int((now - w.Since) / rules.Fall)
-	if (turn+int(w.ID)+b.set.Me)%windows != 0 {
+	if (int((now-w.Since)/rules.Fall)+int(w.ID)+b.set.Me)%windows != 0 {
 		return false
 	}
 	sum := work
@@ -564,37 +566,44 @@
 			sum += l.work
 		}
 	}
-	return part > 0 && sum <= part*float64(windows)
+	return part > 0 && sum <= part*used*float64(windows)
 }
 
 // warmRate is the work that a warm worker of kind k finishes from this dispatcher each second.
 //
 // Hazard: a release replaces every worker of a kind, and a dispatcher that starts then has no record of
 // it, nor a warm one to make it: all of them stay idle until warm. The kind that takes least stands in.
-//
-// Hazard: where warm ones are not full, what they take is less than they bear, and cold ones stand idle
-// while warm ones queue. Half this dispatcher's part of what the kind's reported slots bear is the
-// least: slots may be more than cores, and at the whole the model world pushed a cold worker over.
 func (b *Balancer) warmRate(k int) float64 {
-	bears := byslots * b.slots[k] / max(b.paces[k], tiny) / float64(max(b.set.Fleet, 1))
-	if l := b.loads[k]; l.work > 0 {
-		return max(l.work/max(l.seconds, tiny), bears)
+	if r := b.kindRate(k); r > 0 {
+		return r
 	}
 	least := 0.0
-	for _, l := range b.loads {
-		if r := l.work / max(l.seconds, tiny); l.work > 0 && (least == 0 || r < least) {
+	for i := range b.loads {
+		if r := b.kindRate(i); r > 0 && (least == 0 || r < least) {
 			least = r
 		}
 	}
-	if least == 0 {
-		return 0 // hazard: nothing seen of any kind, and a report alone is no record of load
-	}
-	return max(least, bears)
+	return least // hazard: where nothing was seen of any kind, nothing
+}
+
+// kindRate is what this dispatcher has seen of kind k alone.
+//
+// Hazard: where warm ones are not full, what they take is less than they bear, and cold ones stand idle
+// while warm ones queue. What the full ones took counts more, the longer some were; all dispatchers'
+// parts of it add up to what they bear. What reports say of slots does not: slots may be more than cores.
+func (b *Balancer) kindRate(k int) float64 {
+	l := &b.loads[k]
+	rate := l.work / max(l.seconds, tiny)
+	return max(rate, (rate*doubt+l.fullWork)/(doubt+l.fullSeconds))
 }
 
 // cost is the work that a request is expected to be, in slot seconds.
 func (b *Balancer) cost(q *request) float64 { return b.expect(q) * q.size() }
 
+// effort is cost by the hints' own measure. Hazard: running times have waits in them, and so what a flood's
+// jobs are taken to be is more than the same jobs after it: a budget from then would be too large.
+func (b *Balancer) effort(q *request) float64 { return b.cost(q) / max(b.ratio, tiny) }
+
 // size is what q takes of a worker: its slots, or its memory where that is more.
 func (q *request) size() float64 { return max(q.Slots, q.Memory, 1) }
 
@@ -624,7 +633,7 @@
 	}
 	if b.warmth(now, w) < 1 {
 		oldest := now - b.set.Rules.Fall*time.Duration(b.set.Fleet) // as far as any span reaches
-		w.sent = append(keep(w.sent, func(l load) bool { return l.at > oldest }), load{now, b.cost(q)})
+		w.sent = append(keep(w.sent, func(l load) bool { return l.at > oldest }), load{now, b.effort(q)})
 	}
 	b.act.Send(q.ID, w.ID, 0)
 }
@@ -752,7 +761,7 @@
 	b.watched += dt
 	for _, w := range b.workers {
 		if w.State == Ready && b.warmth(now, w) == 1 {
-			b.loads[w.Kind].seconds += dt
+			b.loads[w.Kind].add(0, dt, w.full)
 		}
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -362,18 +362,45 @@
 	}
 }
 
-// Rule 4 where warm workers are far from full: a cold worker's budget is what its kind's reported
-// slots bear, and not only the little that warm ones happen to take; it is kept all the same.
-func TestColdBudgetByWhatSlotsBear(t *testing.T) {
+// Rule 4 where warm workers are far from full on the whole: a cold worker's budget is what warm ones
+// took while they were nearly full, and not only the little that they take on average; it is kept.
+func TestColdBudgetByWhatFullOnesTake(t *testing.T) {
 	r := newRecorder(t, testSettings())
 	r.members(Whole, fleet(4)...)
 	drive(r, 0, 100, 250*time.Millisecond, freeSlots(4)) // four slots each; a tenth of one is taken
+	full := drive(r, 100, 400, 8*time.Millisecond, freeSlots(0))
+	if full[100] == 0 {
+		t.Fatal("the warm workers were never full")
+	}
 	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
 	r.work[200].limit = 4 // slot-seconds a second, when warm: what the recorder holds it to
-	// A second of more than the warm ones bear: by what they took alone the cold worker gets 6
-	// jobs; by half what their slots bear, 18.
-	if got := drive(r, 100, 200, 5*time.Millisecond, freeSlots(4))[200]; got < 12 {
-		t.Errorf("the cold worker got %d jobs while warm ones queued; want 12 or more", got)
+	got := drive(r, 500, 200, 5*time.Millisecond, freeSlots(4))[200]
+	if got < 16 {
+		t.Errorf("the cold worker got %d jobs while warm ones were busy; want 16 or more", got)
+	}
+}
+
+// Rule 4 after a flood: how long jobs ran while they waited must not make the budget larger. Recorded
+// while every job took three times its hint, it lets as many jobs in afterwards as one recorded in calm.
+func TestColdBudgetForgetsAFloodsWaits(t *testing.T) {
+	jobs := func(flood float64) (n int) {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		r.b.ratio = flood
+		for i := range 400 {
+			q := &request{Request: hinted(i), class: &r.b.set.Classes[safeClass]}
+			r.b.loads[0].add(r.b.effort(q), 0.1, true)
+		}
+		r.b.ratio = 1
+		r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+		w, q := r.b.byID[200], &request{Request: hinted(400), class: &r.b.set.Classes[safeClass]}
+		for now := r.now + r.set.Rules.Cold/2; r.b.coldRoom(now, w, r.b.effort(q)); n++ {
+			w.sent = append(w.sent, load{now, r.b.effort(q)})
+		}
+		return n
+	}
+	if calm, flood := jobs(1), jobs(3); calm == 0 || flood != calm {
+		t.Errorf("%d jobs by a calm record, %d by a flood's", calm, flood)
 	}
 }
 
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -6,7 +6,7 @@
 
 // Memory is what a dispatcher has learned. It holds no request.
 type Memory struct {
-	Loads, Tallies       [][2]float64
+	Loads, Full, Tallies [][2]float64 // Full is the part of Loads at full workers; an older process has none
 	Slots, Paces, Usual  []float64
 	Mean, Ratio, Arrived float64
 	Watched, Wait, Crowd float64
@@ -44,6 +44,7 @@
 		Surveyed: b.surveyed, Workers: make(map[WorkerID]WorkerMemory, len(b.workers))}
 	for _, l := range b.loads {
 		m.Loads = append(m.Loads, [2]float64{l.work, l.seconds})
+		m.Full = append(m.Full, [2]float64{l.fullWork, l.fullSeconds})
 	}
 	for _, t := range b.tallies {
 		m.Tallies = append(m.Tallies, [2]float64{t.asked, t.served})
@@ -71,7 +72,10 @@
 func (b *Balancer) Recall(now time.Duration, m Memory) {
 	if len(m.Loads) == len(b.loads) && len(m.Slots) == len(b.slots) && len(m.Paces) == len(b.paces) {
 		for i, l := range m.Loads {
-			b.loads[i] = kindLoad{l[0], l[1]}
+			b.loads[i] = kindLoad{work: l[0], seconds: l[1]}
+			if len(m.Full) == len(m.Loads) {
+				b.loads[i].fullWork, b.loads[i].fullSeconds = m.Full[i][0], m.Full[i][1]
+			}
 		}
 		copy(b.slots, m.Slots)
 		copy(b.paces, m.Paces)
--- a/brain/state.go
+++ b/brain/state.go
@@ -40,6 +40,7 @@
 	asked  time.Duration // when it was last probed
 	away   float64       // how far it is from home, in workers
 	owed   bool          // it was put back by hand, and has had no job since
+	full   bool          // its last report told of next to no free slots
 }
 
 // attempt is one Send of a request.
@@ -96,8 +97,19 @@
 	asked float64 // requests lately
 }
 
-// kindLoad is the load that warm workers of one kind are seen to bear.
-type kindLoad struct{ work, seconds float64 }
+// kindLoad is the load that warm workers of one kind are seen to bear: over all the time that they are
+// there, and over the part of it in which they were full.
+type kindLoad struct{ work, seconds, fullWork, fullSeconds float64 }
+
+// add counts work that was finished, or seconds of a worker that was there.
+func (l *kindLoad) add(work, seconds float64, full bool) {
+	l.work += work
+	l.seconds += seconds
+	if full {
+		l.fullWork += work
+		l.fullSeconds += seconds
+	}
+}
 
 // Balancer decides for one dispatcher. It is made by New.
 type Balancer struct {
@@ -585,7 +597,7 @@
 // fade makes all averages over time count for less than what is to come.
 func (b *Balancer) fade(by float64) {
 	for i, l := range b.loads {
-		b.loads[i] = kindLoad{l.work * by, l.seconds * by}
+		b.loads[i] = kindLoad{l.work * by, l.seconds * by, l.fullWork * by, l.fullSeconds * by}
 	}
 	for i, t := range b.tallies {
 		b.tallies[i] = tally{t.asked * by, t.served * by}
@@ -625,7 +637,7 @@
 			v.Why = "the class wants another kind"
 		case !q.onRoute(w):
 			v.Why = "the rule puts it elsewhere or nowhere"
-		case !b.coldRoom(now, w, b.cost(q)):
+		case !b.coldRoom(now, w, b.effort(q)):
 			v.Why = "it is cold and its budget has no room"
 		case !b.may(now, q, w):
 			v.Why = "the time is up"
