--- a/brain/brain.go
+++ b/brain/brain.go
@@ -549,7 +549,7 @@
 	// windows as make the part large enough, and goes only in this dispatcher's turn among as many, by the
 	// worker's age, which all know alike.
 	n := float64(b.set.Fleet)
-	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two dispatchers' turns beside the others' steady parts
+	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two turns beside the steady parts of all others
 	windows, used := 1, steady
 	for part*used*float64(windows) < work {
 		if windows >= b.set.Fleet {
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"os"
 	"testing"
 	"time"
 
@@ -307,6 +308,31 @@
 	}
 }
 
+// Twelve nodes share the budget of each cold worker, and take turns. These storms pushed one over
+// while turns and the others' steady parts did not fit into a window together.
+func TestStormsOfManyNodes(t *testing.T) {
+	const file = "../../experiments/small.toml"
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sc, err := Read(file, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sc.Nodes = 12
+	for _, seed := range []uint64{49, 91, 98, 154, 178, 248, 408, 564} {
+		err := Storms(sc, seed, 1, 6, func(s Storm) {
+			if len(s.Violations) > 0 {
+				t.Errorf("seed %d: %v", s.Seed, s.Violations[0])
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestShrink(t *testing.T) {
 	list := RandomTroubles(small(0), 5, 6)
 	for len(list) < 6 {
