Count an older process's record of cold workers by the hints' measure at an upgrade

Need: a process from before the change passes on work as long as jobs ran, waits and all; taken as hints' work it would make cold workers' budgets too large by the ratio (1.3 to 2.5 seen) for the length of one upgrade. Ruled out: a version of the message, which would lose the whole state. It is told by the record of full workers, which an older process has not. Test broken once: 7 in place of 3.5.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1356,6 +1356,15 @@
 		t.Errorf("by a clock that is behind a worker is ill by %v", ill)
 	}
 	second.b.Recall(second.now, Memory{Ratio: 1, Usual: []float64{1}}) // of other settings
+	// A process of before the hints' measure tells no full workers, and counts by how long jobs run.
+	m.Full, m.Loads[0], m.Ratio = nil, [2]float64{8, 4}, 2
+	older := newSeeded(t, set, 4)
+	older.now = first.now
+	older.members(Cached, list[0], list[1], cold)
+	older.b.Recall(older.now, m)
+	if rate, sent := older.b.warmRate(0), older.b.byID[cold.ID].sent[0].work; rate != 1 || sent != 3.5 {
+		t.Errorf("from an older process a warm worker bears %v, want 1; 7 spent are %v, want 3.5", rate, sent)
+	}
 }
 
 // After a release most of many dispatchers start at once: each asks for the list at a time of
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -70,9 +70,13 @@
 // workers, nor which ones fail. Another process's clock may be ahead of this one's, and
 // what is to fade with time would grow.
 func (b *Balancer) Recall(now time.Duration, m Memory) {
+	unit := 1.0 // of cold workers' work
+	if len(m.Full) != len(m.Loads) && m.Ratio > 0 {
+		unit = 1 / m.Ratio // hazard: an older process counts it as long as jobs run, not by their hints
+	}
 	if len(m.Loads) == len(b.loads) && len(m.Slots) == len(b.slots) && len(m.Paces) == len(b.paces) {
 		for i, l := range m.Loads {
-			b.loads[i] = kindLoad{work: l[0], seconds: l[1]}
+			b.loads[i] = kindLoad{work: l[0] * unit, seconds: l[1]}
 			if len(m.Full) == len(m.Loads) {
 				b.loads[i].fullWork, b.loads[i].fullSeconds = m.Full[i][0], m.Full[i][1]
 			}
@@ -105,7 +109,7 @@
 		}
 		if w.Since == k.Since {
 			for _, s := range k.Sent {
-				w.sent = append(w.sent, load{min(s.At, now), s.Work})
+				w.sent = append(w.sent, load{min(s.At, now), s.Work * unit})
 			}
 		}
 	}
