Have the process tests run again when the program that they start has changed

Need: after a change to the module's memory, go test took the result of the tests that start the program from its cache (16 s for the checks in place of 87), since the program is built by the tests and not linked into them. A fresh checkout never did; whoever changes the code here would have been told 'ok' of the program before. Ruled out: -count=1 for all, which gives up the cache of every package. The tests look at the sources, which makes them part of the cache's key. Shown: unchanged, the result is cached; with one changed line in brain they run.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -26,6 +26,19 @@
 var program string
 
 func TestMain(m *testing.M) {
+	// Hazard: go test gives a result from its cache though the program has changed, for it is built
+	// here. The sources that a test looks at are part of the cache's key.
+	for _, dir := range []string{"../../brain", "../../cmd", "../../internal"} {
+		err := filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
+			if err == nil {
+				_, err = os.Stat(path)
+			}
+			return err
+		})
+		if err != nil {
+			panic(err)
+		}
+	}
 	dir, err := os.MkdirTemp("", "moorstack")
 	if err != nil {
 		panic(err)
