Have three instances start as the operators' page says, and stop a half start whole

Followed as written, docs/operators/cluster.md left two of three instances down: they share deploy/example.json and so one admin_addr, and the failed start panicked with a nil pointer in Runner.Stop, called before Start. An unknown nested command printed help and exited with 0.

Ruled out: another platform file for each instance, since sharing one is what the page means to show.

The second address of an instance now comes from its own [front] admin alone; the instance keeps what it has started as a list and stops it in reverse, so a failed start stops just that; every command that only holds others refuses a word it does not know, with exit 2 and the nearest name.

Tests: the page's blocks are run as they stand (but for the loopback address), a start with each of three addresses taken, unknown words at eight places.

--- /dev/null
+++ b/cmd/moorstack/page_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// block is the indented block of a page that holds a text, without the indent.
+func block(t *testing.T, page, holds string) string {
+	t.Helper()
+	raw, err := os.ReadFile(page)
+	check(t, err)
+	for _, b := range strings.Split(string(raw), "\n\n") {
+		if strings.HasPrefix(b, "    ") && strings.Contains(b, holds) {
+			return strings.ReplaceAll("\n"+b, "\n    ", "\n")[1:] + "\n"
+		}
+	}
+	t.Fatalf("%s has no block with %q", page, holds)
+	return ""
+}
+
+// moved gives the ports that a text names on loopback another loopback address, so that the page's
+// commands meet no other process of this machine.
+func moved(text, host string) string { return strings.ReplaceAll(text, "127.0.0.1", host) }
+
+// The page's commands, as they stand there but for the address, make a group of three.
+func TestClusterPage(t *testing.T) {
+	t.Parallel()
+	host := net.IPv4(127, 77, byte(os.Getpid()>>8), byte(os.Getpid())).String()
+	dir := t.TempDir()
+	deploy, err := filepath.Glob("../../deploy/*.*")
+	check(t, err)
+	check(t, os.MkdirAll(filepath.Join(dir, "deploy"), 0o700))
+	for _, path := range deploy {
+		raw, err := os.ReadFile(path)
+		check(t, err)
+		check(t, os.WriteFile(filepath.Join(dir, "deploy", filepath.Base(path)),
+			[]byte(moved(string(raw), host)), 0o600))
+	}
+	check(t, os.MkdirAll(filepath.Join(dir, "bin"), 0o700))
+	check(t, os.Symlink(program, filepath.Join(dir, "bin", "moorstack")))
+
+	page := "../../docs/operators/cluster.md"
+	script := "set -eu\nPATH=$PWD/bin:$PATH\n" + moved(block(t, page, "keys new-ca"), host)
+	// The page starts its instances in the background and goes on; here they are ended too.
+	script = strings.ReplaceAll(script, ".log &", ".log & echo $! >> pids")
+	script = strings.Replace(script, "moorstack cluster init",
+		"for s in 1 2 3; do while [ ! -S data/n$s/control.sock ]; do sleep 0.05; done; done\nmoorstack cluster init", 1)
+	t.Cleanup(func() {
+		raw, _ := os.ReadFile(filepath.Join(dir, "demo", "pids"))
+		for _, pid := range strings.Fields(string(raw)) {
+			_ = exec.Command("kill", "-9", pid).Run()
+		}
+	})
+	run := func(what, script string) string {
+		t.Helper()
+		cmd := exec.Command("timeout", "60", "sh", "-c", script)
+		cmd.Dir = dir
+		cmd.WaitDelay = time.Second // the instances hold the output open
+		out, err := cmd.CombinedOutput()
+		if err != nil && !errors.Is(err, exec.ErrWaitDelay) {
+			logs, _ := exec.Command("sh", "-c", "tail -n 3 "+dir+"/demo/*.log").CombinedOutput()
+			t.Fatalf("%s: %v\n%s\n%s", what, err, out, logs)
+		}
+		return string(out)
+	}
+	if out := run("three instances from nothing", script); strings.Count(out, ", voter") != 1+3 { // at init and at the end
+		t.Fatalf("the page's commands make no group of three: %s", out)
+	}
+	change := strings.ReplaceAll(block(t, page, "config propose config.toml --dry-run"),
+		"$EDITOR config.toml", "sed -i 's/worth = 5.0/worth = 6.0/' config.toml")
+	out := run("a change", "set -eu\nPATH=$PWD/bin:$PATH\ncd demo\n"+change)
+	for _, say := range []string{"worth 5 -> 6", "in force as revision 2", "in force as revision 3"} {
+		if !strings.Contains(out, say) {
+			t.Errorf("the page's change does not say %q: %s", say, out)
+		}
+	}
+}
+
+// A start that fails half-way stops what had started, says why, and leaves nothing behind.
+func TestStartThatFailsHalfWay(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	defer taken.Close()
+	g.start("n1")
+	g.kill("n1", syscall.SIGTERM)
+	text, err := os.ReadFile(filepath.Join(g.dir, "n1.toml"))
+	check(t, err)
+	field := func(section, key string) string {
+		_, rest, _ := strings.Cut(string(text), "["+section+"]")
+		return regexp.MustCompile(key + ` = "([^"]+)"`).FindStringSubmatch(rest)[1]
+	}
+	for name, address := range map[string]string{"the clients' address": field("front", "listen"),
+		"the peers' address": field("peers", "listen"), "the control address": field("control", "listen")} {
+		changed := strings.Replace(string(text), address, taken.Addr().String(), 1)
+		check(t, os.WriteFile(filepath.Join(g.dir, "x.toml"), []byte(changed), 0o600))
+		out, code := g.run("serve", "--config", "x.toml")
+		if code != exitFailed || strings.Contains(out, "panic") ||
+			!strings.Contains(out, "address already in use") {
+			t.Errorf("%s is taken: exit %d: %s", name, code, out)
+		}
+	}
+	// A second address of the platform file, which instances share, is not opened.
+	check(t, os.WriteFile(filepath.Join(g.dir, "x.toml"),
+		[]byte(strings.Replace(string(text), "[front]\n", "[front]\nadmin = \""+field("front", "listen")+"\"\n", 1)),
+		0o600))
+	g.expect(exitFailed, "x.toml:4: front.admin", "serve", "--config", "x.toml")
+	g.start("n1") // and its directory and addresses are free
+}
+
+func TestUnknownCommandsAreRefused(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	for _, args := range [][]string{{"nosuch"}, {"prove", "nosuch"}, {"cluster", "stauts"}, {"config", "x"},
+		{"keys", "x"}, {"store", "x"}, {"route", "x"}, {"emulate", "x"}} {
+		g.expect(exitUsage, "unknown command", args...)
+	}
+	g.expect(exitUsage, `did you mean "status"?`, "cluster", "stauts")
+	g.expect(0, "Usage:", "prove")
+}
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -71,9 +71,32 @@
 		newRoute(&g),
 		newProve(&g),
 	)
+	refuseUnknown(root)
 	return root
 }
 
+// refuseUnknown has every command that only holds others refuse a word that names none of
+// them. Cobra does so at the root alone, and prints help with exit code 0 elsewhere.
+func refuseUnknown(cmd *cobra.Command) {
+	for _, c := range cmd.Commands() {
+		refuseUnknown(c)
+	}
+	if cmd.Runnable() || !cmd.HasSubCommands() {
+		return
+	}
+	cmd.Args, cmd.SuggestionsMinimumDistance = cobra.ArbitraryArgs, 2
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return cmd.Help()
+		}
+		hint := fmt.Sprintf("%q lists its commands", cmd.CommandPath()+" --help")
+		if near := cmd.SuggestionsFor(args[0]); len(near) > 0 {
+			hint = fmt.Sprintf("did you mean %q?", near[0])
+		}
+		return exitError{exitUsage, fmt.Errorf("unknown command %q for %q; %s", args[0], cmd.CommandPath(), hint)}
+	}
+}
+
 // logger is the log that the flags ask for, on standard error.
 func (g *global) logger() (*logrus.Logger, error) {
 	log := logrus.New()
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -98,10 +98,12 @@
 	go r.run(ctx)
 }
 
-// Stop ends the instance and closes its directory.
+// Stop ends the instance and closes its directory. It may be called before Start.
 func (r *Runner) Stop() error {
-	r.stop()
-	<-r.ended
+	if r.stop != nil {
+		r.stop()
+		<-r.ended
+	}
 	return r.store.Close()
 }
 
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/grpc"
 
 	"moorstack/brain"
 	"moorstack/internal/agreement"
@@ -37,8 +36,8 @@
 	file    string // of its own rules, if it has one
 	runner  *consensus.Runner
 	network *peers.Network
-	peers   *grpc.Server
 	control *control.Server
+	parts   []part
 	latest  chan agreement.Revision // of which only the newest counts
 
 	mu      sync.Mutex
@@ -49,15 +48,47 @@
 
 var _ control.Host = (*Instance)(nil)
 
-// NewInstance builds an instance and opens all that listens.
+// part is what has been started, and how it is stopped.
+type part struct {
+	name string
+	stop func() error
+}
+
+// started notes a part: the parts are stopped in the opposite order.
+func (i *Instance) started(name string, stop func() error) {
+	i.parts = append(i.parts, part{name, stop})
+}
+
+// stop stops what has been started, the last first, and nothing else.
+func (i *Instance) stop() error {
+	var errs []error
+	for n := len(i.parts) - 1; n >= 0; n-- {
+		if err := i.parts[n].stop(); err != nil {
+			errs = append(errs, fmt.Errorf("stopping %s: %w", i.parts[n].name, err))
+		}
+	}
+	i.parts = nil
+	return errors.Join(errs...)
+}
+
+// NewInstance builds an instance and opens all that listens. Where that fails half-way, what
+// had been started is stopped.
 func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1)}
+	if err := i.open(); err != nil {
+		return nil, errors.Join(err, i.stop())
+	}
+	return i, nil
+}
+
+func (i *Instance) open() error {
+	cfg, log := i.cfg, i.log
 	k, err := keys.Open(cfg.Keys, log)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if name, role := k.Name(); name != cfg.Name || role != keys.Instance {
-		return nil, fmt.Errorf(
+		return fmt.Errorf(
 			"%s is the certificate of %s %q; wanted is that of instance %q",
 			cfg.Keys.Cert,
 			role,
@@ -67,10 +98,10 @@
 	}
 	platformCfg, faktoryCfg, err := cfg.fronts()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if i.own, err = platformCfg.Settings.Brain(); err != nil {
-		return nil, err
+		return err
 	}
 	i.names = routing.Names{Zones: platformCfg.Settings.Zones, Kinds: platformCfg.Settings.Kinds}
 	for _, c := range i.own.Classes {
@@ -81,37 +112,36 @@
 	}
 	i.file = cfg.Front.Routes
 	if _, err := i.ownRoutes(); err != nil {
-		return nil, err
+		return err
 	}
-	i.network = peers.New(k, cfg.Name, cfg.Peers.Listen, program, log.WithField("part", "peers"))
+	i.network = peers.New(k, cfg.Name, cfg.Peers.Listen, i.program, log.WithField("part", "peers"))
+	i.started("the peers' network", func() error { i.network.Close(); return nil })
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: i.agreed})
 	if err != nil {
-		return nil, err
+		return err
 	}
+	i.started("the agreement", i.runner.Stop)
 	i.network.Attach(i.runner)
 	i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2})
 	if err != nil {
-		return nil, errors.Join(err, i.runner.Stop())
+		return err
 	}
 	// What was agreed on last holds from the first request on, also while this instance is
 	// cut off: the files' own word is older.
 	if r, ok := i.runner.Agreed(); ok {
 		i.apply(r, i.node.configure)
 	} else if err := i.reroute(); err != nil {
-		return nil, errors.Join(err, i.runner.Stop())
+		return err
 	}
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
 			log.WithError(err).Error("the rules stay as they were")
 		}
 	}
-	if err := i.listen(k); err != nil {
-		return nil, err
-	}
-	return i, nil
+	return i.listen(k)
 }
 
 func (i *Instance) listen(k *keys.Store) error {
@@ -119,8 +149,10 @@
 	if err != nil {
 		return fmt.Errorf("the peers' address: %w", err)
 	}
-	i.peers = i.network.Server()
+	server := i.network.Server()
+	i.started("the peers' service", func() error { server.Stop(); _ = l.Close(); return nil })
 	i.control = control.New(i, i.log.WithField("part", "control"))
+	i.started("the operators' service", func() error { i.control.Stop(); return nil })
 	if err := i.control.ServeSocket(i.cfg.Control.Socket); err != nil {
 		return err
 	}
@@ -130,7 +162,7 @@
 		}
 	}
 	i.runner.Start()
-	go i.peers.Serve(l)
+	go server.Serve(l)
 	return nil
 }
 
@@ -139,11 +171,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go i.keepUp(ctx)
-	err := i.node.Run(signals)
-	i.control.Stop()
-	i.peers.Stop()
-	i.network.Close()
-	return errors.Join(err, i.runner.Stop())
+	return errors.Join(i.node.Run(signals), i.stop())
 }
 
 // agreed takes a revision from the runner, which must not wait for the node's loop.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,6 +23,7 @@
 		Platform  string `toml:"platform"`  // JSON: the deployment's settings, and where the fronts listen
 		Listen    string `toml:"listen"`    // in place of the platform file's
 		Discovery string `toml:"discovery"` // likewise
+		Admin     string `toml:"admin"`     // the second address; the platform file's is not used
 		Faktory   string `toml:"faktory"`   // TOML; the Faktory front is off without
 		Routes    string `toml:"routes"`    // TOML; what the group agrees on comes before it
 	} `toml:"front"`
@@ -76,7 +77,8 @@
 		key, value string
 		must       bool
 	}{{"peers.listen", c.Peers.Listen, true}, {"control.listen", c.Control.Listen, false},
-		{"front.listen", c.Front.Listen, false}, {"front.discovery", c.Front.Discovery, false}} {
+		{"front.listen", c.Front.Listen, false}, {"front.discovery", c.Front.Discovery, false},
+		{"front.admin", c.Front.Admin, false}} {
 		if a.value == "" && !a.must {
 			continue
 		}
@@ -114,6 +116,12 @@
 	if c.Front.Listen != "" {
 		p.Listen = c.Front.Listen
 	}
+	// Hazard: instances of one machine share a platform file, and can't share an address.
+	p.Admin = c.Front.Admin
+	if p.Admin != "" && p.Admin == p.Listen {
+		return nil, nil, tomlfile.At(c.path, c.raw, "front.admin", "%q is the clients' address, not one of its own",
+			p.Admin)
+	}
 	if c.Front.Discovery != "" {
 		p.Discovery = c.Front.Discovery
 	}
