--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -26,7 +26,8 @@
 	r.addFlags(cmd)
 	for _, c := range []*cobra.Command{
 		newClusterStatus(g, &r), newClusterInit(g, &r), newClusterBackup(g, &r),
-		newClusterRestore(g, &r), newClusterSnapshot(g, &r)} {
+		newClusterRestore(g, &r), newClusterSnapshot(g, &r),
+		newClusterSetAside(g, &r)} {
 		cmd.AddCommand(c)
 	}
 	var force bool
@@ -171,11 +172,9 @@
 		t.add("PROBLEM", s.RunningProblem)
 	}
 	if s.CutOff {
-		t.add(
-			"CUT OFF",
-			fmt.Sprintf("no leader for %.1f s; it serves with what was agreed on last", s.ContactS),
-		)
+		t.add("CUT OFF", fmt.Sprintf("no leader for %.1f s", s.ContactS))
 	}
+	sessionRows(&t, s)
 	if s.Joint {
 		t.add("members", "a change of members is half-way; the group ends it by itself")
 	}
@@ -193,6 +192,12 @@
 			if !m.Active {
 				heard += ", NOT HEARD OF"
 			}
+			if m.Running > 0 {
+				heard += fmt.Sprintf(", runs revision %d", m.Running)
+			}
+		}
+		if m.Session != "" {
+			heard += ", session " + m.Session
 		}
 		t.add(head, fmt.Sprintf("%s (%x) at %s, %s%s", m.Name, m.Id, m.Address, vote, heard))
 	}
@@ -310,7 +315,7 @@
 					old.Revision,
 				)
 			}
-			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
 				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
 				if err != nil {
 					return err
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -52,7 +52,8 @@
 	}
 	r.addFlags(cmd)
 	for _, c := range []*cobra.Command{newConfigGet(g, &r), newConfigDiff(g, &r), newConfigPropose(g, &r),
-		newConfigHistory(g, &r), newConfigRollback(g, &r), newConfigWatch(g, &r), newConfigSet(g, &r)} {
+		newConfigHistory(g, &r), newConfigRollback(g, &r), newConfigWatch(g, &r), newConfigSet(g, &r),
+		newConfigPending(g, &r), newConfigWithdraw(g, &r)} {
 		addOutput(c, g)
 		cmd.AddCommand(c)
 	}
@@ -243,15 +244,22 @@
 	id, note string
 	base     uint64
 	dryRun   bool
+	noWait   bool
+	wait     time.Duration
 	expect   []string
 }
 
+// patience is how long the call may take.
+func (f *proposeFlags) patience() time.Duration { return max(f.wait, time.Second) }
+
 func (f *proposeFlags) add(cmd *cobra.Command) {
 	cmd.Flags().
 		StringVar(&f.id, "id", "", "the change's id; the same again, say after exit code 6, has the same one")
 	cmd.Flags().StringVar(&f.note, "note", "", "why, for the history")
 	cmd.Flags().StringSliceVar(&f.expect, "expect", nil,
 		"refuse the change if an expectation in these `files` fails under it")
+	cmd.Flags().BoolVar(&f.noWait, "no-wait", false, "return as soon as the change begins to take hold")
+	cmd.Flags().DurationVar(&f.wait, "wait", time.Minute, "how long to wait until it is in force or withdrawn")
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "say what would come of it, and change nothing")
 }
 
@@ -261,12 +269,13 @@
 		Use:   "propose FILE",
 		Short: "Put a changed configuration in force at all instances, or at none",
 		Long: `propose asks for a change: FILE holds the whole configuration, and "revision" in it names
-the one that it was made from, as get printed it. It is checked whole, put into the group's
-log and in force at every instance that is not cut off when the command returns with 0;
-one that is cut off follows when it is back.
+the one that it was made from, as get printed it. It is checked whole, made ready at every
+instance, and then takes hold at all of them. When the command returns with 0, no instance
+admits jobs under the old one any more.
 
 What is refused changes nothing: with 3 if another change came first (the message says
-what it changed), with 4 if the document is not valid (file and line are named).`,
+what it changed), with 4 if the document is not valid (file and line are named), or if an
+instance refuses it or can't be asked in time (the message names it).`,
 		Example: `  moorstack config propose config.toml --note "quotes are worth less"
   moorstack config propose config.toml --dry-run`,
 		Args: cobra.ExactArgs(1),
@@ -287,7 +296,7 @@
 					"it must name the revision that the file was made from, as get prints it",
 				)
 			}
-			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
 				return propose(ctx, cmd, g, c, &f, base, &doc.Document, func(problem string) string {
 					return located(args[0], raw, problem)
 				})
@@ -327,8 +336,13 @@
 	}
 	reply, err := c.Propose(
 		ctx,
-		&schema.ProposeRequest{Id: id, Base: base, Note: f.note, Document: b, DryRun: f.dryRun},
+		&schema.ProposeRequest{Id: id, Base: base, Note: f.note, Document: b, DryRun: f.dryRun,
+			NoWait: f.noWait},
 	)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return exitError{exitUnknown, fmt.Errorf("not decided within %v; \"config pending\" tells how it stands, "+
+			"and the same again is safe: --id %s", f.patience(), id)}
+	}
 	if err != nil {
 		return err
 	}
@@ -377,6 +391,14 @@
 		for _, l := range reply.Problems {
 			t.add("  " + l)
 		}
+	case schema.ProposeReply_BEGUN:
+		t.add(fmt.Sprintf("it takes hold as revision %d; \"config pending\" tells how it stands", reply.Revision))
+	case schema.ProposeReply_WITHDRAWN:
+		code = exitInvalid
+		t.add(fmt.Sprintf("withdrawn; revision %d is in force as before:", reply.Revision))
+		for _, l := range reply.Problems {
+			t.add("  " + l)
+		}
 	case schema.ProposeReply_NO_LEADER:
 		code = exitNoLeader
 		t.add("not tried: " + strings.Join(reply.Problems, "; "))
@@ -449,7 +471,7 @@
 			if err != nil {
 				return err
 			}
-			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
 				doc, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
@@ -490,11 +512,12 @@
 				if err != nil {
 					return err
 				}
-				t := table{head: []string{"REVISION", "WHEN", "AUTHOR", "CHANGE", "NOTE"}}
+				t := table{head: []string{"REVISION", "WHEN", "TOOK", "AUTHOR", "CHANGE", "NOTE"}}
 				for _, rev := range h.Revisions {
 					t.add(
 						rev.Revision,
 						when(rev.AtMs),
+						took(rev),
 						dash(rev.Author),
 						rev.Id,
 						strings.TrimPrefix(note(rev.Note), ": "),
@@ -522,7 +545,7 @@
 			if f.note == "" {
 				f.note = fmt.Sprintf("back to revision %d", n)
 			}
-			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
 				newest, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
--- a/cmd/moorstack/remote.go
+++ b/cmd/moorstack/remote.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc/codes"
@@ -52,6 +53,14 @@
 	return r.stream(ctx, f)
 }
 
+// within is call for something that may take so long.
+func (r *remote) within(ctx context.Context, d time.Duration,
+	f func(context.Context, schema.ControlClient) error) error {
+	ctx, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	return r.stream(ctx, f)
+}
+
 // stream is call without a limit on time.
 func (r *remote) stream(ctx context.Context, f func(context.Context, schema.ControlClient) error) error {
 	t := r.target
--- a/cmd/moorstack/routes_test.go
+++ b/cmd/moorstack/routes_test.go
@@ -64,6 +64,16 @@
 		accept(s, rw, "done")
 	}, "serve", "--config", filepath.Join(g.dir, "n1.toml"))
 
+	// One that belongs to no group knows no policy that is in force, and admits nothing.
+	none := w.dial().send(job("r0", "quote", "2000m", "x")).want(503, "")
+	if none.Header.Get("Retry-After") == "" || !strings.Contains(none.Header.Get("X-Refusal"), "no group") {
+		t.Errorf("without a group refused with %v", none.Header)
+	}
+	g.must("cluster", "init", "--config", "n1.toml")
+	eventually(t, "jobs are admitted", func() bool {
+		return strings.Contains(g.must("cluster", "status", "--config", "n1.toml"), "admits    jobs, under revision 1")
+	})
+
 	// Refused by a rule, over both fronts, with the reason and when to return.
 	resp := w.dial().send(job("r1", "book", "2000m", "x")).want(503, "")
 	if resp.Header.Get("Retry-After") != "1.500" || resp.Header.Get("X-Refusal") != "no bookings today" {
@@ -101,7 +111,6 @@
 	w.dial().send(job("r3", "book", "2000m", "x")).want(200, "did x")
 
 	// What the group agrees on comes first. A change that breaks an expectation is refused.
-	g.must("cluster", "init", "--config", "n1.toml")
 	file("agreed.toml", strings.Replace(twoRules, "no bookings today", "the group says no", 1))
 	expectation := `version = 1
 platform = "platform.json"
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"moorstack/brain"
+	"moorstack/internal/rollout"
 )
 
 func sample(worth float64) *Document {
@@ -41,16 +42,16 @@
 
 func TestChangesAreAppliedOnceAndInOrder(t *testing.T) {
 	s := state(t)
-	if o := s.Apply(Change{ID: "a", Base: 1, Document: sample(6)}); o.Code != Accepted || o.Revision != 2 {
+	if o := force(s, Change{ID: "a", Base: 1, Document: sample(6)}); o.Code != Accepted || o.Revision != 2 {
 		t.Fatalf("%+v", o)
 	}
-	if o := s.Apply(Change{ID: "a", Base: 1, Document: sample(6)}); o.Code != Accepted || o.Revision != 2 {
+	if o := force(s, Change{ID: "a", Base: 1, Document: sample(6)}); o.Code != Accepted || o.Revision != 2 {
 		t.Errorf("the same change again: %+v", o)
 	}
-	if o := s.Apply(Change{ID: "b", Base: 1, Document: sample(7)}); o.Code != Conflict || o.Revision != 2 {
+	if o := force(s, Change{ID: "b", Base: 1, Document: sample(7)}); o.Code != Conflict || o.Revision != 2 {
 		t.Errorf("a stale change: %+v", o)
 	}
-	if o := s.Apply(Change{ID: "c", Base: 2, Document: sample(6)}); o.Code != Unchanged {
+	if o := force(s, Change{ID: "c", Base: 2, Document: sample(6)}); o.Code != Unchanged {
 		t.Errorf("no change: %+v", o)
 	}
 	if got := s.Newest(); got.Revision != 2 || got.Document.Classes[0].Worth != 6 {
@@ -65,7 +66,7 @@
 func TestBounds(t *testing.T) {
 	s := state(t)
 	for n := range MaxIDs + 10 {
-		o := s.Apply(Change{ID: fmt.Sprint(n), Base: uint64(n + 1), Document: sample(float64(n + 10))})
+		o := force(s, Change{ID: fmt.Sprint(n), Base: uint64(n + 1), Document: sample(float64(n + 10))})
 		if o.Code != Accepted {
 			t.Fatalf("%d: %+v", n, o)
 		}
@@ -74,7 +75,7 @@
 		len(s.history) != MaxHistory {
 		t.Errorf("%d ids, %d revisions are remembered", len(s.ids), len(s.history))
 	}
-	if o := s.Apply(Change{ID: "0", Base: 1, Document: sample(10)}); o.Code != Conflict {
+	if o := force(s, Change{ID: "0", Base: 1, Document: sample(10)}); o.Code != Conflict {
 		t.Errorf("a forgotten change: %+v", o)
 	}
 	big := sample(1)
@@ -86,7 +87,7 @@
 	for n := range 40 {
 		d := sample(float64(n))
 		d.Sections["levels"]["b"] = strings.Repeat("x", 200<<10)
-		s.Apply(Change{ID: fmt.Sprint("large", n), Base: s.Newest().Revision, Document: d})
+		force(s, Change{ID: fmt.Sprint("large", n), Base: s.Newest().Revision, Document: d})
 	}
 	if s.bytes > maxHistoryBytes || len(s.history) < 15 {
 		t.Errorf("the history has %d bytes in %d revisions", s.bytes, len(s.history))
@@ -95,23 +96,23 @@
 
 func TestSnapshotIsTheState(t *testing.T) {
 	s := state(t)
-	s.Apply(Change{ID: "a", Base: 1, Document: sample(6), Author: "x", Note: "n", At: time.UnixMilli(17)})
-	s.Apply(Change{ID: "b", Base: 1, Document: sample(7)})
+	force(s, Change{ID: "a", Base: 1, Document: sample(6), Author: "x", Note: "n", At: time.UnixMilli(17)})
+	force(s, Change{ID: "b", Base: 1, Document: sample(7)})
 	s.ApplyMembers([]Member{{2, "n2", "127.0.0.1:2"}}, []uint64{1})
 	r, err := Restore(Rules{}, s.Encode())
 	if err != nil || !bytes.Equal(r.Encode(), s.Encode()) || !r.Removed(1) {
 		t.Fatalf("%v", err)
 	}
-	a, b := r.Apply(
+	a, b := force(r,
 		Change{ID: "c", Base: 2, Document: sample(8)},
-	), s.Apply(
+	), force(s,
 		Change{ID: "c", Base: 2, Document: sample(8)},
 	)
 	if a.Revision != 3 || b.Revision != 3 || !bytes.Equal(r.Encode(), s.Encode()) {
 		t.Errorf("they go on differently: %+v, %+v", a, b)
 	}
-	for _, bad := range []string{"", "{}", `{"format":2}`, `{"format":1,"history":[{"revision":1}]}`,
-		strings.Replace(string(s.Encode()), `"format":1`, `"format":1,"new":1`, 1)} {
+	for _, bad := range []string{"", "{}", `{"format":3}`, `{"format":1,"history":[{"revision":1}]}`,
+		strings.Replace(string(s.Encode()), `"format":2`, `"format":2,"new":1`, 1)} {
 		if _, err := Restore(Rules{}, []byte(bad)); err == nil {
 			t.Errorf("restored from %q", bad)
 		}
@@ -153,7 +154,7 @@
 		}
 		d := sample(9)
 		spoil(d)
-		o := s.Apply(Change{ID: "x", Base: 1, Document: d})
+		o := force(s, Change{ID: "x", Base: 1, Document: d})
 		if o.Code != Invalid || !strings.Contains(strings.Join(o.Problems, "\n"), want) {
 			t.Errorf("want %q: %v %v", want, o.Code, o.Problems)
 		}
@@ -200,3 +201,15 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// force applies a change and has it take hold, as a group without sessions does at once.
+func force(s *State, c Change) Outcome {
+	o, ok := s.Apply(c)
+	if ok {
+		return o
+	}
+	s.Command(rollout.Command{Kind: rollout.Hold, Change: c.ID, Attempt: 1})
+	s.Command(rollout.Command{Kind: rollout.Decide, Change: c.ID, Attempt: 1})
+	o, _ = s.Known(c.ID)
+	return o
+}
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -16,9 +16,12 @@
 	"moorstack/brain"
 )
 
-// Format is the form of documents that this program reads. An instance that meets a
-// newer one stops applying changes rather than reading it in part.
-const Format = 1
+// Format is the newest form of the agreed state and its log that this program reads. An
+// instance that meets a newer one stops applying changes rather than reading it in part.
+//
+// Format 1 is a group in which a change is in force when it is agreed on. In one of format 2
+// it takes hold as package rollout says. A group goes from 1 to 2 once all its instances can.
+const Format = 2
 
 // Bounds on a document. A change beyond them is refused before it is proposed.
 const (
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"moorstack/internal/rollout"
 )
 
 // What a State remembers at the most.
@@ -40,10 +42,11 @@
 	Invalid        // the document is refused
 	TooLarge       // it is over a bound
 	Unchanged      // the document is the agreed one already
+	Withdrawn      // it did not take hold everywhere, and so nowhere
 )
 
 func (c Code) String() string {
-	return [...]string{"accepted", "conflict", "invalid", "too large", "unchanged"}[min(int(c), 4)]
+	return [...]string{"accepted", "conflict", "invalid", "too large", "unchanged", "withdrawn"}[min(int(c), 5)]
 }
 
 // Outcome is what became of a change, at every instance the same.
@@ -55,11 +58,13 @@
 
 // Revision is a document that was agreed on.
 type Revision struct {
-	Revision uint64    `json:"revision"`
-	ID       string    `json:"id"`
-	Author   string    `json:"author,omitempty"`
-	Note     string    `json:"note,omitempty"`
-	AtMS     int64     `json:"at_ms"`
+	Revision uint64 `json:"revision"`
+	ID       string `json:"id"`
+	Author   string `json:"author,omitempty"`
+	Note     string `json:"note,omitempty"`
+	AtMS     int64  `json:"at_ms"`
+	// When it came into force, by the clock of the leader that decided; 0: when it was proposed.
+	ForceMS  int64     `json:"force_ms,omitempty"`
 	Document *Document `json:"document"`
 
 	size int
@@ -82,6 +87,11 @@
 	order   []string // of the ids, oldest first
 	members map[uint64]Member
 	removed []uint64
+
+	format  int
+	rollout *rollout.State
+	pending *Revision      // that takes hold, or is withdrawn
+	policy  rollout.Policy // of the newest revision
 }
 
 // New makes the state of a new group. The first document has revision 1, or one more
@@ -92,6 +102,8 @@
 		cluster: cluster,
 		ids:     map[string]Outcome{},
 		members: map[uint64]Member{by.ID: by},
+		format:  Format,
+		rollout: rollout.NewState(),
 	}
 	if !first.finite() {
 		return nil, fmt.Errorf("the first document has a number that is none")
@@ -106,6 +118,23 @@
 // Cluster is the group's own number, in words.
 func (s *State) Cluster() string { return s.cluster }
 
+// Format is the group's: what all its instances can read.
+func (s *State) Format() int { return s.format }
+
+// Rollout is how changes take hold. It must not be changed.
+func (s *State) Rollout() *rollout.State { return s.rollout }
+
+// Policy is how changes take hold now.
+func (s *State) Policy() rollout.Policy { return s.policy }
+
+// Pending is the change that has been proposed and not decided.
+func (s *State) Pending() (Revision, bool) {
+	if s.pending == nil {
+		return Revision{}, false
+	}
+	return *s.pending, true
+}
+
 // Newest is the revision in force.
 func (s *State) Newest() Revision { return s.history[len(s.history)-1] }
 
@@ -144,6 +173,9 @@
 		return refuse(Invalid, fmt.Sprintf("the change's id must have 1 to %d bytes", maxName))
 	case len(c.Author) > maxName || len(c.Note) > 1024:
 		return refuse(TooLarge, fmt.Sprintf("an author may have %d bytes, a note 1024", maxName))
+	case s.pending != nil && c.ID != s.pending.ID:
+		return refuse(Conflict, fmt.Sprintf("change %s of %q is taking hold as revision %d; wait for it, or withdraw it",
+			s.pending.ID, s.pending.Author, s.pending.Revision))
 	case c.Base != newest.Revision:
 		return refuse(
 			Conflict,
@@ -166,24 +198,76 @@
 }
 
 // Apply applies a change that is in the log. A change that was applied already has the
-// outcome that it had, and does nothing.
-func (s *State) Apply(c Change) Outcome {
+// outcome that it had, and does nothing. One that begins to take hold has none yet, and ok is
+// false.
+func (s *State) Apply(c Change) (o Outcome, ok bool) {
 	if o, ok := s.ids[c.ID]; ok {
-		return o
+		return o, true
 	}
-	o := s.Check(c)
+	if s.pending != nil && s.pending.ID == c.ID {
+		return Outcome{}, false
+	}
+	o = s.Check(c)
 	if o.Code == Accepted {
-		s.push(
-			Revision{Revision: o.Revision, ID: c.ID, Author: c.Author, Note: c.Note, AtMS: c.At.UnixMilli(),
-				Document: c.Document},
-		)
+		r := Revision{Revision: o.Revision, ID: c.ID, Author: c.Author, Note: c.Note, AtMS: c.At.UnixMilli(),
+			Document: c.Document}
+		if s.format > 1 {
+			s.pending = &r
+			s.rollout.Pending = &rollout.Pending{Change: c.ID, Revision: r.Revision, Phase: rollout.Staging, Attempt: 1}
+			return Outcome{}, false
+		}
+		s.push(r)
 	}
 	// Refused ones are remembered too: the same change must not be refused now and
 	// accepted when it comes again.
 	if c.ID != "" && len(c.ID) <= maxName {
 		s.remember(c.ID, o)
 	}
-	return o
+	return o, true
+}
+
+// Command applies a command of the rollout that is in the log. The outcome is the operator's
+// whose word it was; ok says that the pending change has been decided, too.
+func (s *State) Command(c rollout.Command) (o Outcome, decided string) {
+	o = Outcome{Code: Accepted, Revision: s.Newest().Revision}
+	if s.format < 2 {
+		return Outcome{Code: Invalid, Revision: o.Revision,
+			Problems: []string{"the group has instances that know nothing of this"}}, ""
+	}
+	if known, ok := s.ids[c.ID]; ok && c.ID != "" {
+		return known, ""
+	}
+	p := s.pending
+	if err := s.rollout.Apply(c); err != nil {
+		o.Code, o.Problems = Invalid, []string{err.Error()}
+	} else if s.rollout.Pending == nil && p != nil {
+		s.pending, decided = nil, p.ID
+		if c.Kind == rollout.Decide {
+			p.ForceMS = c.AtMS
+			s.push(*p)
+			s.remember(p.ID, Outcome{Code: Accepted, Revision: p.Revision})
+		} else {
+			s.remember(p.ID, Outcome{Code: Withdrawn, Revision: o.Revision, Problems: []string{c.Reason}})
+		}
+	}
+	if c.ID != "" && len(c.ID) <= maxName {
+		s.remember(c.ID, o)
+	}
+	return o, decided
+}
+
+// Enter takes the group to the newest format. Its instances, which have served without
+// sessions so far, have one each from here on.
+func (s *State) Enter() {
+	if s.format >= Format {
+		return
+	}
+	s.format = Format
+	names := map[uint64]string{}
+	for _, m := range s.members {
+		names[m.ID] = m.Name
+	}
+	s.rollout.Enter(names)
 }
 
 func (s *State) remember(id string, o Outcome) {
@@ -199,6 +283,7 @@
 	r.size = len(r.Document.Encode())
 	s.history = append(s.history, r)
 	s.bytes += r.size
+	s.policy, _ = rollout.ReadPolicy(r.Document.Sections[rollout.Section]) // it has been validated
 	for len(s.history) > 1 && (len(s.history) > MaxHistory || s.bytes > maxHistoryBytes) {
 		s.bytes -= s.history[0].size
 		s.history = append(s.history[:0], s.history[1:]...)
@@ -253,6 +338,9 @@
 	if n := len(s.removed) - maxRemoved; n > 0 {
 		s.removed = append(s.removed[:0], s.removed[n:]...)
 	}
+	// Hazard: one that has been removed may admit jobs until its lease ends. Its session stays
+	// until then, and a change waits for it.
+	s.rollout.Forget(func(id uint64) bool { _, ok := s.members[id]; return ok })
 }
 
 // image is a State as it is written.
@@ -263,6 +351,12 @@
 	IDs     []idImage  `json:"ids"`
 	Members []Member   `json:"members"`
 	Removed []uint64   `json:"removed,omitempty"`
+
+	// From format 2 on.
+	Sessions []rollout.Session `json:"sessions,omitempty"`
+	Epoch    uint64            `json:"epoch,omitempty"`
+	Phase    *rollout.Pending  `json:"phase,omitempty"`
+	Pending  *Revision         `json:"pending,omitempty"`
 }
 
 type idImage struct {
@@ -273,11 +367,15 @@
 // Encode writes the state: equal states have equal bytes.
 func (s *State) Encode() []byte {
 	im := image{
-		Format:  Format,
-		Cluster: s.cluster,
-		History: s.history,
-		Members: s.Members(),
-		Removed: s.removed,
+		Format:   s.format,
+		Cluster:  s.cluster,
+		History:  s.history,
+		Members:  s.Members(),
+		Removed:  s.removed,
+		Sessions: s.rollout.List(),
+		Epoch:    s.rollout.Epoch,
+		Phase:    s.rollout.Pending,
+		Pending:  s.pending,
 	}
 	for _, id := range s.order {
 		im.IDs = append(im.IDs, idImage{id, s.ids[id]})
@@ -299,14 +397,21 @@
 	if err := dec.Decode(&im); err != nil {
 		return nil, fmt.Errorf("reading an agreed state: %w", err)
 	}
-	if im.Format != Format {
-		return nil, fmt.Errorf("an agreed state of format %d; this program reads %d", im.Format, Format)
+	if im.Format < 1 || im.Format > Format {
+		return nil, fmt.Errorf("an agreed state of format %d; this program reads 1 to %d", im.Format, Format)
+	}
+	if (im.Phase == nil) != (im.Pending == nil) || im.Pending != nil && im.Pending.Document == nil {
+		return nil, fmt.Errorf("reading an agreed state: half a change is pending")
 	}
 	if len(im.History) == 0 || len(im.IDs) > MaxIDs {
 		return nil, fmt.Errorf("reading an agreed state: %d revisions, %d ids", len(im.History), len(im.IDs))
 	}
 	s := &State{rules: rules, cluster: im.Cluster, ids: map[string]Outcome{}, members: map[uint64]Member{},
-		removed: im.Removed}
+		removed: im.Removed, format: im.Format, pending: im.Pending,
+		rollout: &rollout.State{Sessions: map[uint64]rollout.Session{}, Epoch: im.Epoch, Pending: im.Phase}}
+	for _, x := range im.Sessions {
+		s.rollout.Sessions[x.Member] = x
+	}
 	last := uint64(0)
 	for _, r := range im.History {
 		if r.Document == nil || r.Revision <= last {
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"moorstack/internal/rollout"
 )
 
 // SectionRule checks a section that the program knows. It must be a pure function.
@@ -177,6 +179,12 @@
 				p.add(at, "key %q: %s", key, why)
 			}
 		}
+		if name == rollout.Section {
+			_, wrong := rollout.ReadPolicy(values)
+			for _, why := range wrong {
+				p.add(at, "%s", why)
+			}
+		}
 		if rule := r.Sections[name]; rule != nil {
 			for _, why := range rule(d, values) {
 				p.add(at, "%s", why)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -51,13 +52,24 @@
 
 func (a *alone) drive(t testing.TB) {
 	t.Helper()
-	if err := Drive(a.Instance, a.log, func(e Effects) {
+	var fronts []func() // what the fronts say to what they were told
+	if err := Drive(a.Instance, a.log, func() time.Duration { return 0 }, func(e Effects) {
 		for _, x := range e.Answers {
 			a.answers[x.Ticket] = x
 		}
+		if r := e.Stage; r != nil {
+			fronts = append(fronts, func() { a.Staged(r.ID, nil) })
+		}
+		if p := e.Permit; p != nil && p.Change != "" {
+			fronts = append(fronts, func() { a.Closed(p.Change, p.Attempt) })
+		}
 	}); err != nil {
 		t.Fatal(err)
 	}
+	for _, f := range fronts {
+		f()
+		a.drive(t)
+	}
 }
 
 func lead(t testing.TB) *alone {
@@ -70,7 +82,7 @@
 }
 
 func (a *alone) propose(t testing.TB, id string, base uint64, worth float64) Answer {
-	ticket := a.Propose(agreement.Change{ID: id, Base: base, Document: document(worth)})
+	ticket := a.Propose(agreement.Change{ID: id, Base: base, Document: document(worth)}, false)
 	a.drive(t)
 	return a.answers[ticket]
 }
--- a/internal/consensus/drive.go
+++ b/internal/consensus/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"moorstack/internal/store"
 )
@@ -15,7 +16,10 @@
 
 // Drive carries out what an instance wants done after an input: it writes, syncs, and
 // only then has the effects carried out. After an error the instance must not be used.
-func Drive(i *Instance, log Log, carry func(Effects)) error {
+//
+// Hazard: the writing may take long, and what is granted after it must not be counted from
+// before it. So the clock is read again.
+func Drive(i *Instance, log Log, clock func() time.Duration, carry func(Effects)) error {
 	for {
 		work, ok := i.Next()
 		if !ok {
@@ -33,6 +37,7 @@
 				return fmt.Errorf("writing the agreement's log: %w", err)
 			}
 		}
+		i.Clock(clock())
 		effects := i.Finish()
 		if effects.Image != nil {
 			if err := log.Snapshot(effects.Image); err != nil {
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -30,6 +30,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.etcd.io/raft/v3"
@@ -37,6 +38,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -51,6 +53,8 @@
 	KeepEntries    uint64 // behind a snapshot, for those who lag a little
 	Seed           uint64
 	Log            logrus.FieldLogger
+	TickLength     time.Duration    // 100 ms, if 0
+	Wall           func() time.Time // told to people, used for nothing; may be nil
 }
 
 func (c Config) filled() Config {
@@ -62,6 +66,9 @@
 	fill(&c.ElectionTicks, 10)
 	fill(&c.HeartbeatTicks, 1)
 	fill(&c.PatienceTicks, 50)
+	if c.TickLength <= 0 {
+		c.TickLength = 100 * time.Millisecond
+	}
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = 200
 	}
@@ -114,6 +121,16 @@
 	Answers   []Answer
 	Revisions []agreement.Revision // newly in force, in order
 	Image     []byte               // for store.Snapshot: the store's records can go
+
+	Sessions []SessionMessage    // to other instances
+	Permit   *rollout.Permit     // whether the fronts may admit jobs, where that has changed
+	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
+}
+
+// SessionMessage is a word on sessions to another instance.
+type SessionMessage struct {
+	To      uint64
+	Message *schema.SessionMessage
 }
 
 // Instance is one member of a group.
@@ -131,9 +148,11 @@
 	contact  uint64
 	heard    map[uint64]uint64 // when each member was, in ticks
 
-	applied uint64
-	imaged  uint64 // the index of the last snapshot
-	conf    *pb.ConfState
+	applied     uint64
+	appliedTerm uint64 // of that entry
+	ses         sessions
+	imaged      uint64 // the index of the last snapshot
+	conf        *pb.ConfState
 	// reshaped: the members have changed since the last snapshot.
 	reshaped bool
 	told     uint64 // the revision told last
@@ -249,6 +268,8 @@
 		)
 	}
 	i.rng = rand.New(rand.NewPCG(cfg.Seed, i.identity.Id))
+	i.ses.holder = rollout.NewHolder(i.identity.Id, i.rng.Uint64()|1)
+	i.ses.waiting, i.ses.formats = map[uint64]rollout.Report{}, map[uint64]uint32{}
 	if i.identity.Cluster == "" {
 		return i, nil
 	}
@@ -287,6 +308,7 @@
 			return err
 		}
 		i.conf, i.applied, i.imaged = meta.GetConfState(), meta.GetIndex(), meta.GetIndex()
+		i.appliedTerm = meta.GetTerm()
 		i.tell()
 	}
 	i.patience = i.draw()
@@ -379,6 +401,7 @@
 		}
 		i.look()
 	})
+	i.sessions()
 }
 
 // votes says whether this instance may be elected.
@@ -447,6 +470,7 @@
 			}
 		}
 	})
+	i.sessions()
 	if errors.Is(err, raft.ErrStepPeerNotFound) {
 		return nil // an answer of one that has been removed meanwhile
 	}
@@ -475,7 +499,7 @@
 			if e.GetType() != pb.EntryNormal {
 				return errors.New("a proposal of another kind than a change")
 			}
-			if _, err := decodeChange(e.GetData()); err != nil {
+			if _, _, err := decodeChange(e.GetData()); err != nil {
 				return err
 			}
 		}
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -37,7 +37,8 @@
 }
 
 func (e *Effects) empty() bool {
-	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil
+	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil &&
+		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil
 }
 
 // save makes records of what must outlive the process. The order matters where the end of
@@ -69,6 +70,7 @@
 	if rd := i.ready; rd != nil {
 		i.ready = nil
 		i.guarded(func() { i.finish(rd) })
+		i.sessions()
 	}
 	out := i.out
 	i.out = Effects{}
@@ -87,6 +89,7 @@
 		meta := rd.Snapshot.GetMetadata()
 		i.state, i.conf = state, meta.GetConfState()
 		i.applied, i.imaged = meta.GetIndex(), meta.GetIndex()
+		i.appliedTerm = meta.GetTerm()
 		i.tell()
 	}
 	if !raft.IsEmptyHardState(rd.HardState) {
@@ -120,6 +123,7 @@
 
 // apply takes an entry that is agreed on.
 func (i *Instance) apply(e *pb.Entry) {
+	i.appliedTerm = e.GetTerm()
 	switch e.GetType() {
 	case pb.EntryNormal:
 		if len(e.GetData()) > 0 {
@@ -149,14 +153,22 @@
 }
 
 func (i *Instance) applyChange(data []byte) {
-	c, err := decodeChange(data)
+	m, c, err := decodeChange(data)
 	if err != nil {
 		// Hazard: to pass over what can't be read would be to agree on something else than
 		// the instances that can read it.
 		panic(err)
 	}
-	o := i.state.Apply(c)
-	i.outcome = append(i.outcome, outcome{c.ID, o})
+	switch {
+	case m.Enter:
+		i.state.Enter()
+	case m.Command != nil:
+		i.applyCommand(m.Command)
+	default:
+		if o, ok := i.state.Apply(c); ok {
+			i.outcome = append(i.outcome, outcome{c.ID, o})
+		}
+	}
 	i.tell()
 }
 
@@ -216,32 +228,32 @@
 	}
 }
 
-func encodeChange(c agreement.Change) []byte {
-	b, err := proto.Marshal(&schema.Change{Id: c.ID, Base: c.Base, Author: c.Author, Note: c.Note,
-		AtMs: c.At.UnixMilli(), Format: agreement.Format, Document: c.Document.Encode()})
-	if err != nil {
-		panic(err) // a text that is not UTF-8 was refused before
-	}
-	return b
+func encodeChange(c agreement.Change, format int) []byte {
+	return encode(&schema.Change{Id: c.ID, Base: c.Base, Author: c.Author, Note: c.Note,
+		AtMs: c.At.UnixMilli(), Format: uint32(format), Document: c.Document.Encode()})
 }
 
-func decodeChange(b []byte) (agreement.Change, error) {
-	var m schema.Change
-	if err := proto.Unmarshal(b, &m); err != nil {
-		return agreement.Change{}, fmt.Errorf("a change in the log can't be read: %w", err)
+// decodeChange reads what is in the log: a change, or the message that holds something else.
+func decodeChange(b []byte) (*schema.Change, agreement.Change, error) {
+	m := &schema.Change{}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return nil, agreement.Change{}, fmt.Errorf("a change in the log can't be read: %w", err)
 	}
 	if m.Format > agreement.Format {
-		return agreement.Change{}, fmt.Errorf(
+		return nil, agreement.Change{}, fmt.Errorf(
 			"a change in the log has format %d; this program reads %d and must be renewed",
 			m.Format,
 			agreement.Format,
 		)
 	}
+	if m.Command != nil || m.Enter {
+		return m, agreement.Change{}, nil
+	}
 	doc, err := agreement.Decode(m.Document)
 	if err != nil {
-		return agreement.Change{}, err
+		return nil, agreement.Change{}, err
 	}
-	return agreement.Change{
+	return m, agreement.Change{
 		ID:       m.Id,
 		Base:     m.Base,
 		Author:   m.Author,
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
+	"strings"
 	"unicode/utf8"
 
 	"go.etcd.io/raft/v3"
@@ -28,6 +29,9 @@
 	lead   uint64 // to whom
 	index  uint64 // a read waits until so much is applied; 0: not known yet
 	target uint64 // of a transfer
+
+	command bool // an operator's word
+	noWait  bool // answered once the change begins to take hold
 }
 
 type requestKind uint8
@@ -66,8 +70,11 @@
 
 // Propose asks for a change. What is refused anyway is answered at once and does not go
 // into the log; at an instance that knows no leader, everything is.
-func (i *Instance) Propose(c agreement.Change) Ticket {
-	r := &request{kind: proposing, id: c.ID}
+//
+// The answer comes when the change is in force, or is not to be; with noWait as soon as it
+// begins to take hold, with the code Accepted and the revision that it is to be.
+func (i *Instance) Propose(c agreement.Change, noWait bool) Ticket {
+	r := &request{kind: proposing, id: c.ID, noWait: noWait}
 	ticket := i.admit(r)
 	if err := i.unfit(); err != nil {
 		i.answer(r, err, agreement.Outcome{})
@@ -76,8 +83,21 @@
 	// An instance that lags may know an older revision than the change was made from. That
 	// is no conflict yet; where the change is in the log, all will see it alike.
 	newest := i.state.Newest().Revision
+	if who := i.unable(); i.state.Format() < 2 && len(who) > 0 {
+		// One that knows no staging would run the change as soon as it is agreed on.
+		i.answer(r, refuse("%s: not known to run a program that can make itself ready for a change before it "+
+			"takes hold; renew or remove it first", strings.Join(who, ", ")), agreement.Outcome{})
+		return ticket
+	} else if i.state.Format() < 2 {
+		i.answer(r, refuse("the group is about to have changes take hold everywhere at once; try again"),
+			agreement.Outcome{})
+		return ticket
+	}
 	if _, known := i.state.Known(c.ID); known || c.Base <= newest || c.Document == nil {
-		if o := i.state.Check(c); known || o.Code != agreement.Accepted {
+		// Hazard: another change that is pending here may have been withdrawn since, and this one,
+		// which comes again, be in the log already. Only the log can tell.
+		pending := c.Base == newest && c.Document != nil
+		if o := i.state.Check(c); known || o.Code != agreement.Accepted && !(pending && o.Code == agreement.Conflict) {
 			i.answer(r, nil, o)
 			return ticket
 		}
@@ -91,7 +111,7 @@
 		i.answer(r, nil, agreement.Outcome{Code: agreement.TooLarge, Revision: newest})
 		return ticket
 	}
-	r.data = encodeChange(c)
+	r.data = encodeChange(c, i.state.Format())
 	i.waiting = append(i.waiting, r)
 	i.guarded(func() { i.try(r) })
 	return ticket
@@ -130,6 +150,10 @@
 }
 
 func (i *Instance) readAt(s raft.ReadState) {
+	if x := &i.ses; x.read != "" && x.read == string(s.RequestCtx) {
+		x.index = max(s.Index, 1)
+		return
+	}
 	for _, r := range i.waiting {
 		if r.kind == reading && bytes.Equal([]byte(r.id), s.RequestCtx) {
 			r.index = s.Index
@@ -163,6 +187,15 @@
 				return true
 			}
 		}
+		if p, ok := i.pending(r); ok {
+			if r.noWait {
+				i.answer(r, nil, agreement.Outcome{Code: agreement.Accepted, Revision: p.Revision})
+				return true
+			}
+			// It is in the log, and has its bounds in time there.
+			r.until = max(r.until, i.ticks+uint64(i.cfg.PatienceTicks))
+			return false
+		}
 		if r.kind == proposing && i.state != nil {
 			// It may have come with a snapshot.
 			if o, ok := i.state.Known(r.id); ok {
@@ -199,6 +232,15 @@
 	return false
 }
 
+// pending is the change that a request is about, if it takes hold now.
+func (i *Instance) pending(r *request) (agreement.Revision, bool) {
+	if i.state == nil || r.kind != proposing || r.command {
+		return agreement.Revision{}, false
+	}
+	p, ok := i.state.Pending()
+	return p, ok && p.ID == r.id
+}
+
 // Operate changes the members or the leader. Only the leader does it; the number of a new
 // instance must be known, for it is the instance that chose it.
 func (i *Instance) Operate(op *schema.Operation, number uint64) Ticket {
@@ -388,6 +430,7 @@
 	Joint    bool
 	Members  []MemberStatus
 	Halted   error
+	Rollout  Rollout
 }
 
 // MemberStatus is how a member stands, as far as this instance knows.
@@ -428,6 +471,7 @@
 		return st
 	}
 	st.Revision = i.state.Newest().Revision
+	st.Rollout = i.rollout()
 	for _, m := range i.state.Members() {
 		ms := MemberStatus{Member: m, Voter: slices.Contains(i.conf.GetVoters(), m.ID)}
 		if s.RaftState == raft.StateLeader {
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -11,8 +11,10 @@
 
 	"github.com/sirupsen/logrus"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sys/unix"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -21,6 +23,7 @@
 // be carried now is dropped, and Raft sends what matters again.
 type Transport interface {
 	Send(to agreement.Member, m *pb.Message)
+	SendSession(to agreement.Member, m *schema.SessionMessage)
 }
 
 // RunnerConfig is how a Runner is run.
@@ -32,6 +35,11 @@
 	Transport Transport
 	// Revision is told each revision that comes into force, in order, from the runner's goroutine.
 	Revision func(agreement.Revision)
+	// Permit is told, on the same goroutine, whenever it changes whether the fronts may admit. It
+	// must not wait; one that is closed for a change is answered by Closed.
+	Permit func(rollout.Permit)
+	// Stage is told of a change that the fronts must be made ready for; Staged is the answer.
+	Stage func(agreement.Revision)
 }
 
 // Runner is an instance with a clock, a disk and a network. One goroutine drives it.
@@ -59,6 +67,7 @@
 	if cfg.Tick <= 0 {
 		cfg.Tick = 100 * time.Millisecond
 	}
+	cfg.TickLength, cfg.Wall = cfg.Tick, time.Now
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
@@ -123,7 +132,7 @@
 	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
 	for {
-		if err := Drive(r.inst, r.store, r.carry); err != nil {
+		if err := Drive(r.inst, r.store, Boottime, r.carry); err != nil {
 			r.failed = err
 			r.cfg.Log.WithError(err).Error("the agreement has stopped here: its disk fails")
 			return
@@ -133,10 +142,13 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			r.inst.Clock(Boottime())
 			r.inst.Tick()
 		case f := <-r.calls:
+			r.inst.Clock(Boottime())
 			f()
 		case m := <-r.inbox:
+			r.inst.Clock(Boottime())
 			r.step(m)
 			// What came meanwhile shares the next sync.
 			for range len(r.inbox) {
@@ -163,19 +175,21 @@
 			r.cfg.Revision(rev)
 		}
 	}
+	if e.Stage != nil && r.cfg.Stage != nil {
+		r.cfg.Stage(*e.Stage)
+	}
+	if e.Permit != nil && r.cfg.Permit != nil {
+		r.cfg.Permit(*e.Permit)
+	}
 	for _, m := range e.Messages {
-		to, ok := agreement.Member{}, false
-		if s := r.inst.State(); s != nil {
-			to, ok = s.Member(m.GetTo())
-		}
-		if !ok {
-			to, ok = r.reach[m.GetTo()]
+		if to, ok := r.memberAt(m.GetTo()); ok {
+			r.cfg.Transport.Send(to, m)
 		}
-		if !ok {
-			r.dropped.Add(1)
-			continue
+	}
+	for _, m := range e.Sessions {
+		if to, ok := r.memberAt(m.To); ok {
+			r.cfg.Transport.SendSession(to, m.Message)
 		}
-		r.cfg.Transport.Send(to, m)
 	}
 	for _, a := range e.Answers {
 		if f := r.answer[a.Ticket]; f != nil {
@@ -185,6 +199,20 @@
 	}
 }
 
+// memberAt is the instance of a number. One that has none is counted as a dropped message.
+func (r *Runner) memberAt(id uint64) (to agreement.Member, ok bool) {
+	if s := r.inst.State(); s != nil {
+		to, ok = s.Member(id)
+	}
+	if !ok {
+		to, ok = r.reach[id]
+	}
+	if !ok {
+		r.dropped.Add(1)
+	}
+	return to, ok
+}
+
 // publish makes the status known and wakes those who watch, when it has changed.
 func (r *Runner) publish() {
 	s := r.inst.Status()
@@ -242,6 +270,54 @@
 	}
 }
 
+// DeliverSession takes another instance's word on sessions, and which format it reads. Like
+// Deliver it never waits.
+func (r *Runner) DeliverSession(from agreement.Member, m *schema.SessionMessage, format uint32) {
+	r.post(func() {
+		if r.inst.Reads(from.ID, format); m == nil {
+			return
+		}
+		if err := r.inst.StepSession(from.ID, m); err != nil {
+			r.refused.Add(1)
+			r.cfg.Log.WithError(err).WithField("from", from.Name).Debug("a word on sessions is refused")
+		}
+	})
+}
+
+// Staged says that the fronts are ready for a change, or why they can't be.
+func (r *Runner) Staged(change string, problems []string) {
+	go r.do(context.Background(), func() { r.inst.Staged(change, problems) })
+}
+
+// Closed says that the fronts have ceased to admit for a change.
+func (r *Runner) Closed(change string, attempt int) {
+	go r.do(context.Background(), func() { r.inst.Closed(change, attempt) })
+}
+
+// Runs says which revision the fronts run.
+func (r *Runner) Runs(revision uint64) {
+	go r.do(context.Background(), func() { r.inst.Running(revision) })
+}
+
+// Command puts an operator's word into the log and waits for what becomes of it.
+func (r *Runner) Command(ctx context.Context, c rollout.Command) (agreement.Outcome, error) {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Command(c) })
+	if err != nil {
+		return agreement.Outcome{}, err
+	}
+	return a.Outcome, a.Err
+}
+
+// Boottime is the clock of leases: it goes on while the process or the machine stands still,
+// and nobody sets it. Processes of one machine share it.
+func Boottime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(fmt.Sprintf("consensus: no boottime clock: %v", err))
+	}
+	return time.Duration(t.Nano())
+}
+
 // post runs f on the runner's goroutine, or not at all if that is busy or has ended.
 func (r *Runner) post(f func()) {
 	select {
@@ -282,9 +358,10 @@
 	}
 }
 
-// Propose asks for a change.
-func (r *Runner) Propose(ctx context.Context, c agreement.Change) (agreement.Outcome, error) {
-	a, err := r.ask(ctx, func() Ticket { return r.inst.Propose(c) })
+// Propose asks for a change, and waits until it is in force or is not to be; with noWait until
+// it begins to take hold.
+func (r *Runner) Propose(ctx context.Context, c agreement.Change, noWait bool) (agreement.Outcome, error) {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Propose(c, noWait) })
 	if err != nil {
 		return agreement.Outcome{}, err
 	}
--- /dev/null
+++ b/internal/consensus/session.go
@@ -0,0 +1,381 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"google.golang.org/protobuf/proto"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/rollout"
+	"moorstack/internal/schema"
+)
+
+// sessions are an instance's part in the rollout: its own lease, and as leader those of all.
+type sessions struct {
+	now    time.Duration
+	holder *rollout.Holder
+	leader *rollout.Leader // nil unless it leads, and has applied an entry of its term
+	lead   uint64          // to whom was reported last
+	met    bool            // it has heard from a leader since it started
+
+	// Reports that wait until it is sure, by word of a majority that came after them, that this
+	// instance leads still.
+	waiting map[uint64]rollout.Report
+	asked   map[uint64]rollout.Report // covered by the read that is under way
+	read    string                    // of that read
+	readAt  uint64                    // ticks
+	reads   uint64
+	index   uint64 // asked is to be answered once so much is applied; 0: the read is under way
+
+	formats map[uint64]uint32 // the newest that each instance reads, as it says itself
+	entered uint64            // ticks, when format 2 was asked for
+	permit  rollout.Permit    // as told last
+	told    bool
+	staging string // the change that the fronts have been asked to be ready for
+}
+
+// Clock tells the time before an input: on a clock that goes on while the process, or the
+// machine, stands still, and that nobody sets.
+func (i *Instance) Clock(now time.Duration) { i.ses.now = max(i.ses.now, now) }
+
+// Staged says that the fronts are ready to switch to a change, or why they can't.
+func (i *Instance) Staged(change string, problems []string) {
+	i.ses.holder.Staged(change, problems)
+	i.sessions()
+}
+
+// Closed says that the fronts have ceased to admit for a change.
+func (i *Instance) Closed(change string, attempt int) {
+	i.ses.holder.Closed(change, attempt)
+	i.sessions()
+}
+
+// Running says which revision the fronts run.
+func (i *Instance) Running(revision uint64) { i.ses.holder.Running(revision) }
+
+// Reads says which format an instance reads, by its own word.
+func (i *Instance) Reads(member uint64, format uint32) {
+	if len(i.ses.formats) < 1024 {
+		i.ses.formats[member] = format
+	}
+}
+
+// StepSession takes another instance's word on sessions.
+func (i *Instance) StepSession(from uint64, m *schema.SessionMessage) error {
+	if i.rn == nil || i.state == nil {
+		return ErrNoGroup
+	}
+	if i.halted != nil {
+		return i.halted
+	}
+	if r := m.Report; r != nil {
+		if i.state.Removed(from) {
+			return ErrRemoved
+		}
+		if r.Nonce == 0 {
+			return fmt.Errorf("a report of no life of an instance")
+		}
+		i.reported(rollout.Report{Member: from, Nonce: r.Nonce, Epoch: r.Epoch, Asked: time.Duration(r.AskedNs),
+			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt), Running: r.Running})
+	}
+	if g := m.Grant; g != nil {
+		if g.AskedNs > int64(i.ses.now) {
+			return fmt.Errorf("a lease that was asked for in the time to come")
+		}
+		i.ses.holder.Granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs), For: time.Duration(g.ForNs)})
+	}
+	i.sessions()
+	return nil
+}
+
+func (i *Instance) reported(r rollout.Report) {
+	if i.ses.leader == nil {
+		return // who asks will ask again
+	}
+	i.ses.leader.Heard(i.ses.now, r)
+	i.ses.waiting[r.Member] = r
+}
+
+// policy is how changes take hold now.
+func (i *Instance) policy() rollout.Policy { return i.state.Policy().For(i.cfg.TickLength) }
+
+// sessions does what follows from the last input.
+func (i *Instance) sessions() {
+	if i.rn == nil || i.state == nil || i.halted != nil {
+		return
+	}
+	i.guarded(func() {
+		s := i.rn.BasicStatus()
+		i.ses.met = i.ses.met || s.Lead != raft.None
+		i.takeLead(s)
+		if i.state.Format() > 1 {
+			i.ses.holder.Follow(i.state.Rollout())
+			i.report(s)
+			if i.ses.leader != nil {
+				i.confirm()
+				i.judge()
+			}
+		} else {
+			if i.ses.met {
+				i.ses.holder.Old()
+			}
+			i.enter()
+		}
+		i.tellPermit()
+		i.stage()
+	})
+}
+
+// takeLead begins and ends the leader's side.
+func (i *Instance) takeLead(s raft.BasicStatus) {
+	x := &i.ses
+	leads := s.RaftState == raft.StateLeader && i.appliedTerm == s.GetTerm()
+	switch {
+	case !leads && x.leader != nil:
+		x.leader = nil
+		clear(x.waiting)
+		x.asked, x.read, x.index = nil, "", 0
+	case leads && (x.leader == nil || x.leader.Term() != s.GetTerm()):
+		x.leader = rollout.NewLeader(x.now, s.GetTerm())
+		clear(x.waiting)
+		x.asked, x.read, x.index = nil, "", 0
+		x.holder.Again()
+	}
+}
+
+// report tells the leader how this instance stands, when it is time.
+func (i *Instance) report(s raft.BasicStatus) {
+	x := &i.ses
+	if s.Lead == raft.None || i.gone() {
+		return
+	}
+	if x.lead != s.Lead {
+		x.lead = s.Lead
+		x.holder.Again()
+	}
+	if s.Lead == i.identity.Id && x.leader == nil {
+		return
+	}
+	r, due := x.holder.Report(x.now, i.policy())
+	if !due {
+		return
+	}
+	if s.Lead == i.identity.Id {
+		i.reported(r)
+		return
+	}
+	i.say(s.Lead, &schema.SessionMessage{Report: &schema.SessionReport{Nonce: r.Nonce, Epoch: r.Epoch,
+		AskedNs: int64(r.Asked), Staged: r.Staged, Refused: r.Refused, Closed: r.Closed,
+		Attempt: int64(r.Attempt), Running: r.Running}})
+}
+
+func (i *Instance) say(to uint64, m *schema.SessionMessage) {
+	i.out.Sessions = append(i.out.Sessions, SessionMessage{to, m})
+}
+
+// confirm asks a majority whether this instance leads still, and answers the reports that came
+// before the question.
+func (i *Instance) confirm() {
+	x := &i.ses
+	if x.index > 0 && i.applied >= x.index {
+		for _, member := range i.state.Members() {
+			r, ok := x.asked[member.ID]
+			if !ok {
+				continue
+			}
+			g := x.leader.Grant(x.now, r, i.state.Rollout(), i.policy())
+			if member.ID == i.identity.Id {
+				x.holder.Granted(g)
+			} else {
+				i.say(member.ID, &schema.SessionMessage{Grant: &schema.SessionGrant{Epoch: g.Epoch,
+					AskedNs: int64(g.Asked), ForNs: int64(g.For)}})
+			}
+		}
+		x.asked, x.read, x.index = nil, "", 0
+	}
+	// A question that is lost is asked again, for what has come since as well.
+	lost := x.read != "" && x.index == 0 && i.ticks-x.readAt > 1
+	// At most one a tick: each costs a message to every member and back.
+	if (x.read != "" && !lost) || len(x.waiting) == 0 && !lost || i.ticks == x.readAt {
+		return
+	}
+	if x.asked == nil {
+		x.asked = map[uint64]rollout.Report{}
+	}
+	for id, r := range x.waiting {
+		x.asked[id] = r
+	}
+	clear(x.waiting)
+	x.reads++
+	b := append([]byte("lease"), binary.BigEndian.AppendUint64(nil, i.identity.Id)...)
+	b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(b, i.ses.holder.Nonce()), x.reads)
+	x.read, x.readAt, x.index = string(b), i.ticks, 0
+	i.rn.ReadIndex(b)
+}
+
+// judge has the leader's side decide what is to be decided.
+func (i *Instance) judge() {
+	x := &i.ses
+	names := map[uint64]string{}
+	for _, m := range i.state.Members() {
+		names[m.ID] = m.Name
+	}
+	for _, c := range x.leader.Look(x.now, i.state.Rollout(), i.policy(), names) {
+		if c.Kind == rollout.Decide && i.cfg.Wall != nil {
+			c.AtMS = i.cfg.Wall().UnixMilli()
+		}
+		_ = i.rn.Propose(encodeCommand(c)) // dropped, it is asked for again
+	}
+}
+
+// enter asks for format 2, once every instance is known to read it.
+func (i *Instance) enter() {
+	if i.ses.leader == nil || len(i.unable()) > 0 || i.ticks-i.ses.entered < uint64(i.cfg.ElectionTicks) {
+		return
+	}
+	i.ses.entered = i.ticks
+	_ = i.rn.Propose(encode(&schema.Change{Format: 2, Enter: true}))
+}
+
+// unable names the members that are not known to read format 2.
+func (i *Instance) unable() []string {
+	var list []string
+	for _, m := range i.state.Members() {
+		if m.ID != i.identity.Id && i.ses.formats[m.ID] < agreement.Format {
+			list = append(list, m.Name)
+		}
+	}
+	return list
+}
+
+// tellPermit tells the fronts whether they may admit, when that has changed.
+func (i *Instance) tellPermit() {
+	x := &i.ses
+	revision := i.state.Newest().Revision
+	p := rollout.Permit{Revision: revision}
+	switch {
+	case i.gone():
+		p.Why = ErrRemoved.Error()
+	case i.state.Format() > 1:
+		p = x.holder.Permit(i.state.Rollout(), revision, i.policy())
+	case x.met:
+		p.Open, p.Forever = true, true
+	default:
+		p.Why = "this instance has not heard from its group since it started"
+	}
+	if x.told && p == x.permit {
+		return
+	}
+	x.told, x.permit = true, p
+	i.out.Permit = &p
+}
+
+// stage has the fronts be made ready for a change.
+func (i *Instance) stage() {
+	r, ok := i.state.Pending()
+	if !ok {
+		i.ses.staging = ""
+		return
+	}
+	if i.ses.staging == r.ID {
+		return
+	}
+	i.ses.staging = r.ID
+	i.out.Stage = &r
+}
+
+func (i *Instance) applyCommand(m *schema.Command) {
+	c := rollout.Command{Kind: rollout.Kind(m.Kind), ID: m.Id, Term: m.Term, Change: m.Change,
+		Attempt: int(m.Attempt), Member: m.Member, Name: m.Name, Nonce: m.Nonce, Reason: m.Reason, AtMS: m.AtMs}
+	for _, s := range m.Seats {
+		c.Seats = append(c.Seats, rollout.Seat{Member: s.Member, Epoch: s.Epoch})
+	}
+	// Hazard: a leader that has been deposed between its look and its word hands the word on to
+	// the next one, which may have granted since what the word counts as over.
+	if c.Kind.Judged() && c.Term != i.appliedTerm {
+		return
+	}
+	if c.Kind == rollout.Open {
+		if _, ok := i.state.Member(c.Member); !ok {
+			return
+		}
+	}
+	o, decided := i.state.Command(c)
+	if c.ID != "" {
+		i.outcome = append(i.outcome, outcome{c.ID, o})
+	}
+	if decided != "" {
+		if known, ok := i.state.Known(decided); ok {
+			i.outcome = append(i.outcome, outcome{decided, known})
+		}
+	}
+	i.tell()
+}
+
+func encodeCommand(c rollout.Command) []byte {
+	m := &schema.Command{Kind: uint32(c.Kind), Id: c.ID, Term: c.Term, Change: c.Change, Attempt: int64(c.Attempt),
+		Member: c.Member, Name: c.Name, Nonce: c.Nonce, Reason: c.Reason, AtMs: c.AtMS}
+	for _, s := range c.Seats {
+		m.Seats = append(m.Seats, &schema.Seat{Member: s.Member, Epoch: s.Epoch})
+	}
+	return encode(&schema.Change{Format: 2, Command: m})
+}
+
+func encode(m *schema.Change) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // a text that is not UTF-8 was refused before
+	}
+	return b
+}
+
+// Command puts an operator's word into the log: a withdrawal, or an instance set aside.
+func (i *Instance) Command(c rollout.Command) Ticket {
+	r := &request{kind: proposing, id: c.ID, command: true}
+	ticket := i.admit(r)
+	if err := i.unfit(); err != nil {
+		i.answer(r, err, agreement.Outcome{})
+		return ticket
+	}
+	r.data = encodeCommand(c)
+	i.waiting = append(i.waiting, r)
+	i.guarded(func() { i.try(r) })
+	return ticket
+}
+
+// Rollout is how sessions and the pending change stand, as far as this instance knows.
+type Rollout struct {
+	Format   int
+	Policy   rollout.Policy
+	Permit   rollout.Permit
+	Left     time.Duration
+	Epoch    uint64
+	Staged   string
+	Pending  *agreement.Revision
+	Phase    rollout.Pending
+	Awaited  map[string]time.Duration // known to the leader only
+	Sessions []rollout.Session
+	Running  map[uint64]uint64 // by member; known to the leader only
+	Ready    map[uint64]string // the change that each has staged; likewise
+}
+
+func (i *Instance) rollout() Rollout {
+	var out Rollout
+	if i.state == nil {
+		return out
+	}
+	x := &i.ses
+	out = Rollout{Format: i.state.Format(), Policy: i.policy(), Permit: x.permit, Left: x.holder.Left(x.now, i.policy()),
+		Epoch: x.holder.Epoch(), Staged: x.holder.Ready(), Sessions: i.state.Rollout().List()}
+	if r, ok := i.state.Pending(); ok {
+		out.Pending, out.Phase = &r, *i.state.Rollout().Pending
+	}
+	if x.leader != nil {
+		out.Awaited = x.leader.Awaited(x.now, i.state.Rollout(), i.policy())
+		out.Running, out.Ready = x.leader.Word()
+	}
+	return out
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -52,6 +52,8 @@
 	schema.Control_Watch_FullMethodName:     true,
 	schema.Control_Status_FullMethodName:    true,
 
+	schema.Control_Pending_FullMethodName: true,
+
 	schema.Control_ExplainRoute_FullMethodName: true,
 }
 
@@ -179,7 +181,8 @@
 }
 
 func revision(r agreement.Revision, document bool) *schema.Revision {
-	m := &schema.Revision{Revision: r.Revision, Id: r.ID, Author: r.Author, Note: r.Note, AtMs: r.AtMS}
+	m := &schema.Revision{Revision: r.Revision, Id: r.ID, Author: r.Author, Note: r.Note, AtMs: r.AtMS,
+		ForceMs: r.ForceMS}
 	if document {
 		m.Document = r.Document.Encode()
 	}
@@ -286,13 +289,13 @@
 
 var codesOf = map[agreement.Code]schema.ProposeReply_Code{agreement.Accepted: schema.ProposeReply_ACCEPTED,
 	agreement.Conflict: schema.ProposeReply_CONFLICT, agreement.Invalid: schema.ProposeReply_INVALID,
-	agreement.TooLarge: schema.ProposeReply_TOO_LARGE, agreement.Unchanged: schema.ProposeReply_UNCHANGED}
+	agreement.TooLarge: schema.ProposeReply_TOO_LARGE, agreement.Unchanged: schema.ProposeReply_UNCHANGED,
+	agreement.Withdrawn: schema.ProposeReply_WITHDRAWN}
 
 // Propose implements schema.ControlServer. What became of the change is in the reply; an
 // error means that nothing was tried.
 func (s *Server) Propose(ctx context.Context, in *schema.ProposeRequest) (*schema.ProposeReply, error) {
-	ctx, stop := context.WithTimeout(ctx, patience)
-	defer stop()
+	// A change has its bounds in time in the log; the caller says how long it waits.
 	name, _ := who(ctx)
 	if len(in.Document) > agreement.MaxDocument {
 		return &schema.ProposeReply{Code: schema.ProposeReply_TOO_LARGE, Problems: []string{
@@ -328,15 +331,23 @@
 	if in.DryRun {
 		o, err = r.Check(ctx, c)
 	} else {
-		o, err = r.Propose(ctx, c)
+		o, err = r.Propose(ctx, c, in.NoWait)
 	}
+	var refused *consensus.RefusedError
 	switch {
 	case err == nil:
 		out.Code, out.Revision, out.Problems = codesOf[o.Code], o.Revision, o.Problems
+		if o.Code == agreement.Accepted && in.NoWait && !in.DryRun {
+			if r.Status().Revision < o.Revision {
+				out.Code = schema.ProposeReply_BEGUN
+			}
+		}
 		if o.Code == agreement.Conflict {
 			// Another change may have come first only now.
 			_ = r.View(ctx, func(st *agreement.State) { compare(out, st, c) })
 		}
+	case errors.As(err, &refused):
+		out.Code, out.Revision, out.Problems = schema.ProposeReply_INVALID, r.Status().Revision, []string{err.Error()}
 	case errors.Is(err, consensus.ErrUnknown) || errors.Is(err, context.DeadlineExceeded):
 		out.Code, out.Problems = schema.ProposeReply_UNKNOWN, []string{consensus.ErrUnknown.Error()}
 	default:
@@ -407,6 +418,7 @@
 				Active: m.Active, Match: m.Match, Known: m.Known},
 		)
 	}
+	describe(out, st)
 	return out, nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	Kind       Kind
 	Result     []byte        // of Served
 	RetryAfter time.Duration // of Busy: when to come back; 0: not told
+	Why        string        // of Busy, from a gate
 }
 
 // Client waits for one transaction's final answer and is told exactly once.
@@ -108,6 +109,18 @@
 	Fetch()
 }
 
+// Gate stands before the module: it lets a transaction in, or refuses it at once. It picks no
+// worker and has no part in a final answer.
+type Gate interface {
+	Admit(id string) (Refusal, bool)
+}
+
+// Refusal is a gate's busy answer.
+type Refusal struct {
+	Why   string
+	After time.Duration // when to come back
+}
+
 // ErrKnown is the answer to a transaction whose ID is in use.
 var ErrKnown = errors.New("a transaction with this ID is open already")
 
@@ -152,7 +165,8 @@
 	hops     map[brain.WorkerID]*hop
 	ids      map[string]brain.WorkerID
 	bans     bans
-	waiting  int // transactions without their final answer
+	gate     Gate // nil: all are let in
+	waiting  int  // transactions without their final answer
 	queue    []func()
 	busy     bool
 }
@@ -166,6 +180,9 @@
 	return c, err
 }
 
+// Guard puts a gate before the module.
+func (c *Core) Guard(g Gate) { c.gate = g }
+
 // CanConfigure says whether Configure may be called with the settings.
 func (c *Core) CanConfigure(set brain.Settings) error { return c.bal.CanConfigure(set) }
 
@@ -210,6 +227,12 @@
 	if c.open[id] != nil {
 		return ErrKnown
 	}
+	if c.gate != nil {
+		if no, ok := c.gate.Admit(t.ID); !ok {
+			client.Answer(Answer{Kind: Busy, RetryAfter: no.After, Why: no.Why})
+			return nil
+		}
+	}
 	now := c.clock.Now()
 	tr := &transaction{Transaction: t, client: client, deadline: now + t.Left}
 	c.open[id] = tr
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -1,6 +1,7 @@
 package faktory
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -114,6 +115,7 @@
 	told       bool // and that has been looked up
 	refused    bool
 	retryAfter time.Duration
+	why        string // it was refused, if a gate has said so
 	updated    time.Time
 }
 
@@ -176,7 +178,7 @@
 	// The answer is given here and now, and so there is nothing to look up.
 	delete(f.jobs, j.JID)
 	if j.refused {
-		return busy("refused", j.retryAfter)
+		return busy(cmp.Or(j.why, "refused"), j.retryAfter)
 	}
 	return fmt.Errorf("the job has failed")
 }
@@ -263,7 +265,7 @@
 		j.state = success
 		j.front.counts.served++
 	case core.Busy:
-		j.state, j.refused, j.retryAfter = failed, true, a.RetryAfter
+		j.state, j.refused, j.retryAfter, j.why = failed, true, a.RetryAfter, a.Why
 		j.front.counts.refused++
 	default:
 		j.state = failed
--- /dev/null
+++ b/internal/node/gate.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"moorstack/internal/consensus"
+	"moorstack/internal/core"
+	"moorstack/internal/rollout"
+)
+
+// gate lets jobs in while this instance may admit them. It belongs to the node's loop; only
+// what it refused may be asked for from elsewhere.
+type gate struct {
+	permit  rollout.Permit
+	running uint64 // the revision that the fronts run; 0: none that was agreed on
+	lease   time.Duration
+	refused atomic.Uint64
+	journal *os.File // what it admits, for audits; nil: none
+}
+
+var _ core.Gate = (*gate)(nil)
+
+// closed is the gate of an instance that has not heard from its group.
+func closed() *gate {
+	return &gate{permit: rollout.Permit{Why: "this instance belongs to no group yet"}, lease: time.Second}
+}
+
+// Admit implements core.Gate.
+func (g *gate) Admit(id string) (core.Refusal, bool) {
+	// Hazard: the process may have stood still for long, with this job in its buffers. The clock
+	// is read here and now, whatever any timer has said, and this moment is when the job is
+	// admitted or not.
+	now := consensus.Boottime()
+	if g.permit.May(now, g.running) {
+		if g.journal != nil {
+			fmt.Fprintf(g.journal, "%d admit %d %s\n", now, g.running, id)
+		}
+		return core.Refusal{}, true
+	}
+	g.refused.Add(1)
+	return core.Refusal{Why: g.why(), After: g.after()}, false
+}
+
+func (g *gate) why() string {
+	switch {
+	case g.permit.Why != "":
+		return g.permit.Why
+	case g.permit.Revision != g.running:
+		return fmt.Sprintf("revision %d is in force, and %d runs here", g.permit.Revision, g.running)
+	}
+	return "its lease has run out"
+}
+
+// after is when to come back: a change takes hold soon, a lost leader takes about a lease.
+func (g *gate) after() time.Duration {
+	if g.permit.Change != "" {
+		return 50 * time.Millisecond
+	}
+	return g.lease
+}
+
+// note writes a line of the journal.
+func (g *gate) note(format string, args ...any) {
+	if g.journal != nil {
+		fmt.Fprintf(g.journal, "%d %s\n", consensus.Boottime(), fmt.Sprintf(format, args...))
+	}
+}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -20,8 +20,10 @@
 	"moorstack/internal/core"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
+	"moorstack/internal/rollout"
 	"moorstack/internal/routing"
 	"moorstack/internal/schema"
+	"moorstack/internal/tomlfile"
 )
 
 // Instance is a node that agrees with others on its configuration: a Node, its part in
@@ -39,11 +41,15 @@
 	control *control.Server
 	parts   []part
 	latest  chan agreement.Revision // of which only the newest counts
+	pending chan agreement.Revision // likewise: to be made ready for
+	gate    *gate
 
 	mu      sync.Mutex
 	running uint64
 	current agreement.Revision
 	problem string
+	staged  string // the change that terms are for
+	terms   Terms
 }
 
 var _ control.Host = (*Instance)(nil)
@@ -74,7 +80,8 @@
 // NewInstance builds an instance and opens all that listens. Where that fails half-way, what
 // had been started is stopped.
 func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
-	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1)}
+	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
+		pending: make(chan agreement.Revision, 1), gate: closed()}
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
 	}
@@ -119,18 +126,26 @@
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
-		Revision: i.agreed})
+		Revision: func(r agreement.Revision) { offer(i.latest, r) },
+		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted})
 	if err != nil {
 		return err
 	}
 	i.started("the agreement", i.runner.Stop)
 	i.network.Attach(i.runner)
-	i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2})
+	if cfg.Audit != "" {
+		if i.gate.journal, err = os.OpenFile(cfg.Audit, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return tomlfile.At(cfg.path, cfg.raw, "audit", "%v", err)
+		}
+		i.started("the audit's journal", i.gate.journal.Close)
+		i.gate.note("start %s", cfg.Name)
+	}
+	i.node, err = New(Options{Platform: platformCfg, Faktory: faktoryCfg, Log: log, Procs: 2, Gate: i.gate})
 	if err != nil {
 		return err
 	}
-	// What was agreed on last holds from the first request on, also while this instance is
-	// cut off: the files' own word is older.
+	// What was agreed on last is what the fronts run. They admit nothing under it before the group
+	// has said that it is in force still.
 	if r, ok := i.runner.Agreed(); ok {
 		i.apply(r, i.node.configure)
 	} else if err := i.reroute(); err != nil {
@@ -174,48 +189,122 @@
 	return errors.Join(i.node.Run(signals), i.stop())
 }
 
-// agreed takes a revision from the runner, which must not wait for the node's loop.
-func (i *Instance) agreed(r agreement.Revision) {
+// offer hands a revision on without waiting: who takes them takes the newest.
+func offer(c chan agreement.Revision, r agreement.Revision) {
 	for {
 		select {
-		case i.latest <- r:
+		case c <- r:
 			return
 		default:
 		}
 		select {
-		case <-i.latest: // an older one that nobody has come to
+		case <-c: // an older one that nobody has come to
 		default:
 		}
 	}
 }
 
+// permitted takes the runner's word on whether the fronts may admit.
+func (i *Instance) permitted(p rollout.Permit) {
+	i.node.loop.Post(func() {
+		if was := i.gate.permit; was.Open != p.Open || was.Why != p.Why && !p.Open {
+			i.gate.note("permit open=%v revision=%d why=%q", p.Open, p.Revision, p.Why)
+			entry := i.log.WithField("revision", p.Revision)
+			switch {
+			case p.Open:
+				entry.Info("jobs are admitted")
+			case p.Change != "":
+				entry.WithField("change", p.Change).Info("jobs wait for a change to take hold")
+			default:
+				entry.WithField("why", p.Why).Warn("no job is admitted")
+			}
+		}
+		i.gate.permit = p
+		// Hazard: the yes must follow the turn in which the fronts have ceased to admit.
+		if !p.Open && p.Change != "" {
+			i.runner.Closed(p.Change, p.Attempt)
+		}
+	})
+}
+
 func (i *Instance) keepUp(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case r := <-i.pending:
+			i.stage(r)
 		case r := <-i.latest:
 			i.apply(r, i.node.Configure)
 		}
 	}
 }
 
+// stage makes everything ready for a change, so that the switch takes one turn of the loop.
+func (i *Instance) stage(r agreement.Revision) {
+	t, err := i.termsOf(r.Document)
+	if err == nil {
+		err = i.bears(r.Document)
+	}
+	if err == nil {
+		err = i.node.CanConfigure(t)
+	}
+	entry := i.log.WithFields(logrus.Fields{"revision": r.Revision, "change": r.ID})
+	if err != nil {
+		entry.WithError(err).Warn("a change can't be run here")
+		i.runner.Staged(r.ID, []string{err.Error()})
+		return
+	}
+	i.mu.Lock()
+	i.staged, i.terms = r.ID, t
+	i.mu.Unlock()
+	entry.Info("ready for a change")
+	i.runner.Staged(r.ID, nil)
+}
+
+// bears says why this instance can't keep what the document says of leases.
+func (i *Instance) bears(d *agreement.Document) error {
+	p, _ := rollout.ReadPolicy(d.Sections[rollout.Section])
+	if err := p.Bears(time.Duration(i.cfg.Peers.Tick)); err != nil {
+		return tomlfile.At(i.cfg.path, i.cfg.raw, "peers.tick", "%v", err)
+	}
+	return nil
+}
+
+// termsOf fits a document to this instance's own files.
+func (i *Instance) termsOf(d *agreement.Document) (t Terms, err error) {
+	if t.Settings, err = d.Onto(i.own); err != nil {
+		return t, fmt.Errorf("%s: %w", i.cfg.Front.Platform, err)
+	}
+	t.Routes, err = i.routes(d)
+	return t, err
+}
+
 // apply puts a revision in force at the fronts.
 func (i *Instance) apply(r agreement.Revision, configure func(Terms) error) {
-	var t Terms
+	i.mu.Lock()
+	t, ready := i.terms, i.staged == r.ID && r.ID != ""
+	i.staged, i.terms = "", Terms{}
+	i.mu.Unlock()
 	var err error
-	if t.Settings, err = r.Document.Onto(i.own); err == nil {
-		t.Routes, err = i.routes(r.Document)
+	if !ready {
+		t, err = i.termsOf(r.Document)
 	}
 	if err == nil {
+		t.Revision = func() {
+			if r.Revision > i.gate.running {
+				i.gate.running = r.Revision
+				i.gate.note("run %d", r.Revision)
+			}
+		}
 		err = configure(t)
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	entry := i.log.WithField("revision", r.Revision)
 	if err != nil {
-		// The fronts go on with what they have. Only files that differ between instances
-		// can bring this about, for the document itself was valid.
+		// Only files that differ from what they were when it took hold can bring this about: the
+		// fronts admit nothing more, for what they run is not in force.
 		i.problem = fmt.Sprintf("revision %d: %v", r.Revision, err)
 		entry.WithError(err).Error("the agreed configuration can't be run here")
 		return
@@ -224,6 +313,7 @@
 		return
 	}
 	i.running, i.current, i.problem = r.Revision, r, ""
+	i.runner.Runs(r.Revision)
 	entry.Info("the fronts run this configuration")
 }
 
@@ -430,5 +520,6 @@
 	for name, n := range i.runner.Counters() {
 		c[name] = n
 	}
+	c["jobs_refused_by_sessions"] = i.gate.refused.Load()
 	return c
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,8 @@
 	Platform *platform.Config
 	Faktory  *faktory.Config // nil: this front is off
 	Log      logrus.FieldLogger
-	Procs    int // goroutines that run at once; 1, if 0: the loop does all the work
+	Gate     core.Gate // before the module, in all fronts; nil: none
+	Procs    int       // goroutines that run at once; 1, if 0: the loop does all the work
 }
 
 // Node is a node that serves.
@@ -102,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Guard(o.Gate)
 	n.cores = append(
 		n.cores,
 		hosted{Core: c, front: "http", fit: func(s brain.Settings) brain.Settings { return s },
@@ -127,7 +129,7 @@
 	}
 	n.drain = n.front.Drain
 	if o.Faktory != nil {
-		other, err := n.openFaktory(o.Faktory, set, cfg.SeedNumber())
+		other, err := n.openFaktory(o.Faktory, set, cfg.SeedNumber(), o.Gate)
 		if err != nil {
 			return nil, err
 		}
@@ -144,7 +146,8 @@
 
 // openFaktory opens the second front. It has a route set of its own, and so a core
 // of its own: jobs of the one protocol can't be worked on in the other.
-func (n *Node) openFaktory(cfg *faktory.Config, set brain.Settings, seed uint64) (*faktory.Front, error) {
+func (n *Node) openFaktory(cfg *faktory.Config, set brain.Settings, seed uint64,
+	gate core.Gate) (*faktory.Front, error) {
 	set = faktory.Settings(set)
 	log := n.log.WithField("front", "faktory")
 	front, err := faktory.New(n.loop, cfg, set, log)
@@ -155,6 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Guard(gate)
 	if err := front.Open(c); err != nil {
 		return nil, err
 	}
@@ -193,6 +197,7 @@
 type Terms struct {
 	Settings brain.Settings
 	Routes   *routing.Table // nil: jobs go where brain will
+	Revision func()         // called in the turn that takes them over; may be nil
 }
 
 // Configure takes terms over, in all cores and fronts as one whole between two events of
@@ -204,13 +209,27 @@
 	return <-done
 }
 
-func (n *Node) configure(t Terms) error {
-	set := t.Settings
+// CanConfigure says why Configure would fail, and changes nothing.
+func (n *Node) CanConfigure(t Terms) error {
+	done := make(chan error, 1)
+	n.loop.Post(func() { done <- n.canConfigure(t) })
+	return <-done
+}
+
+func (n *Node) canConfigure(t Terms) error {
 	for _, c := range n.cores {
-		if err := c.CanConfigure(c.fit(set)); err != nil {
+		if err := c.CanConfigure(c.fit(t.Settings)); err != nil {
 			return fmt.Errorf("the settings can't be taken over: %w", err)
 		}
 	}
+	return nil
+}
+
+func (n *Node) configure(t Terms) error {
+	set := t.Settings
+	if err := n.canConfigure(t); err != nil {
+		return err
+	}
 	for i := range n.cores {
 		c := &n.cores[i]
 		fitted := c.fit(set)
@@ -220,5 +239,8 @@
 		}
 		c.route(t.Routes)
 	}
+	if t.Revision != nil {
+		t.Revision()
+	}
 	return nil
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -35,6 +35,9 @@
 
 	Keys keys.Files `toml:"keys"`
 
+	// What this instance admits, acts and believes is written to this file, for audits.
+	Audit string `toml:"audit"`
+
 	Control struct {
 		Socket string `toml:"socket"`
 		Listen string `toml:"listen"` // TLS, for certificates of operators and readers; off if empty
@@ -94,7 +97,7 @@
 	}
 	for _, p := range []*string{
 		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Front.Routes, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
-		&c.Control.Socket} {
+		&c.Control.Socket, &c.Audit} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -69,11 +69,25 @@
 		"foreign_refused": n.foreign.Load()}
 }
 
+// outgoing is what waits for a peer: a message of the agreement, or a word on sessions.
+type outgoing struct {
+	message *pb.Message
+	session *schema.SessionMessage
+	to      uint64
+}
+
+func (o outgoing) size() int64 {
+	if o.message != nil {
+		return int64(proto.Size(o.message))
+	}
+	return int64(proto.Size(o.session))
+}
+
 // link is the way to one address.
 type link struct {
 	n     *Network
 	to    agreement.Member
-	queue chan *pb.Message
+	queue chan outgoing
 	bytes atomic.Int64
 	conn  *grpc.ClientConn
 	stop  context.CancelFunc
@@ -92,17 +106,31 @@
 		go l.snapshot(m) // Raft has one at a time under way to each
 		return
 	}
-	size := int64(proto.Size(m))
+	l.put(outgoing{message: m, to: m.GetTo()})
+}
+
+// SendSession queues a word on sessions, or drops it. It never waits.
+func (n *Network) SendSession(to agreement.Member, m *schema.SessionMessage) {
+	l, err := n.link(to)
+	if err != nil {
+		n.dropped.Add(1)
+		return
+	}
+	l.put(outgoing{session: m, to: to.ID})
+}
+
+func (l *link) put(o outgoing) {
+	size := o.size()
 	if l.bytes.Add(size) > maxQueuedBytes {
 		l.bytes.Add(-size)
-		n.dropped.Add(1)
+		l.n.dropped.Add(1)
 		return
 	}
 	select {
-	case l.queue <- m:
+	case l.queue <- o:
 	default:
 		l.bytes.Add(-size)
-		n.dropped.Add(1)
+		l.n.dropped.Add(1)
 	}
 }
 
@@ -141,7 +169,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	l := &link{n: n, to: to, queue: make(chan *pb.Message, maxQueued), conn: conn, stop: stop}
+	l := &link{n: n, to: to, queue: make(chan outgoing, maxQueued), conn: conn, stop: stop}
 	n.links[to.Address] = l
 	go l.run(ctx)
 	return l, nil
@@ -162,19 +190,22 @@
 	}
 }
 
-func (n *Network) envelope(m *pb.Message) (*schema.Envelope, error) {
-	raw, err := proto.Marshal(m)
-	if err != nil {
-		return nil, err
-	}
-	return &schema.Envelope{
-		Cluster:     n.runner.Status().Cluster,
-		From:        m.GetFrom(),
-		To:          m.GetTo(),
-		Message:     raw,
+func (n *Network) envelope(o outgoing) (*schema.Envelope, error) {
+	st := n.runner.Status()
+	e := &schema.Envelope{
+		Cluster:     st.Cluster,
+		From:        st.ID,
+		To:          o.to,
+		Session:     o.session,
 		FromName:    n.self.Name,
 		FromAddress: n.self.Address,
-	}, nil
+		Format:      agreement.Format,
+	}
+	var err error
+	if o.message != nil {
+		e.Message, err = proto.Marshal(o.message)
+	}
+	return e, err
 }
 
 // run sends what is queued, in order, over one stream at a time.
@@ -182,12 +213,12 @@
 	var stream grpc.ClientStreamingClient[schema.Envelope, schema.Delivered]
 	down := false
 	for {
-		var m *pb.Message
+		var m outgoing
 		select {
 		case <-ctx.Done():
 			return
 		case m = <-l.queue:
-			l.bytes.Add(-int64(proto.Size(m)))
+			l.bytes.Add(-m.size())
 		}
 		var err error
 		if stream == nil {
@@ -217,7 +248,7 @@
 		if status.Code(err) == codes.PermissionDenied && status.Convert(err).Message() == removed {
 			l.n.runner.ToldRemoved()
 		}
-		l.n.runner.Unreachable(m.GetTo())
+		l.n.runner.Unreachable(m.to)
 		if !down {
 			down = true
 			l.n.log.WithError(err).WithField("peer", l.to.Name).Warn("a peer is not reached")
@@ -235,7 +266,7 @@
 func (l *link) snapshot(m *pb.Message) {
 	ctx, stop := context.WithTimeout(context.Background(), 30*time.Second)
 	defer stop()
-	e, err := l.n.envelope(m)
+	e, err := l.n.envelope(outgoing{message: m, to: m.GetTo()})
 	if err == nil {
 		_, err = schema.NewPeersClient(l.conn).Snapshot(ctx, e)
 	}
@@ -320,11 +351,13 @@
 		}
 	}
 	m := &pb.Message{}
-	if err := proto.Unmarshal(e.Message, m); err != nil {
-		return refuse(codes.InvalidArgument, "the message can't be read: %v", err)
-	}
-	if m.GetFrom() != e.From || m.GetTo() != e.To {
-		return refuse(codes.InvalidArgument, "the message and its envelope disagree")
+	if e.Session == nil {
+		if err := proto.Unmarshal(e.Message, m); err != nil {
+			return refuse(codes.InvalidArgument, "the message can't be read: %v", err)
+		}
+		if m.GetFrom() != e.From || m.GetTo() != e.To {
+			return refuse(codes.InvalidArgument, "the message and its envelope disagree")
+		}
 	}
 	gone := false
 	if st.Revision > 0 && !knows(st, e.From) {
@@ -334,7 +367,13 @@
 	if gone {
 		return refuse(codes.PermissionDenied, removed)
 	}
-	n.runner.Deliver(agreement.Member{ID: e.From, Name: e.FromName, Address: e.FromAddress}, m)
+	from := agreement.Member{ID: e.From, Name: e.FromName, Address: e.FromAddress}
+	if e.Session != nil || st.Rollout.Format < agreement.Format {
+		n.runner.DeliverSession(from, e.Session, e.Format)
+	}
+	if e.Session == nil {
+		n.runner.Deliver(from, m)
+	}
 	return nil
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -346,8 +346,8 @@
 		c.respond(200, "", a.Result)
 	case core.Busy:
 		n.Declined++
-		why := ""
-		if c.rule != "" {
+		why := a.Why
+		if c.rule != "" && why == "" {
 			why = "no worker of rule " + c.rule
 		}
 		c.busy(a.RetryAfter, why)
--- a/internal/prove/story.go
+++ b/internal/prove/story.go
@@ -10,6 +10,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
+	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 )
 
@@ -17,7 +18,7 @@
 func (w *world) fault() {
 	pick := func() *machine { return w.machines[w.faults.IntN(len(w.machines))] }
 	name := ""
-	switch w.faults.IntN(16) {
+	switch w.faults.IntN(19) {
 	case 0, 1:
 		name = "power"
 		pick().die(true)
@@ -75,7 +76,9 @@
 		pick().fs.Room = int64(w.faults.IntN(2000))
 	case 13:
 		name = "clock"
-		pick().pace = tick + int64(w.faults.IntN(9)) - 4
+		m := pick()
+		m.local() // until now it went by the pace before
+		m.pace = tick + int64(w.faults.IntN(9)) - 4
 	case 14:
 		name = "transfer"
 		if lead := w.leader(); lead != nil {
@@ -83,6 +86,21 @@
 		}
 	case 15:
 		name = w.members()
+	case 16:
+		name = "stall"
+		pick().stall(int64(w.faults.IntN(600)))
+	case 17:
+		name = "leader stalls"
+		if lead := w.leader(); lead != nil {
+			lead.stall(int64(w.faults.IntN(900)))
+		}
+	case 18:
+		name = "many stall"
+		for _, m := range w.machines {
+			if w.faults.IntN(2) == 0 {
+				m.stall(int64(w.faults.IntN(400)))
+			}
+		}
 	}
 	w.trace("fault: %s", name)
 	w.res.Faults[name]++
@@ -153,6 +171,39 @@
 	})
 }
 
+// tidy sets aside, as operators do who know that a machine's disk is gone, sessions of lives
+// that can't come back. Where nothing runs out by itself, changes would wait for them for ever.
+func (w *world) tidy() {
+	w.after(500, func() {
+		if lead := w.leader(); lead != nil && lead.inst.State() != nil {
+			for _, x := range lead.inst.State().Rollout().List() {
+				if w.calm && lead.inst.State().Removed(x.Member) {
+					w.retire(x.Member)
+				}
+				if x.Open && !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.number == x.Member }) {
+					w.made++
+					lead.live().Command(rollout.Command{Kind: rollout.SetAside, Member: x.Member,
+						ID: fmt.Sprintf("aside-%d", w.made)})
+					lead.drive()
+				}
+			}
+		}
+		w.tidy()
+	})
+}
+
+// retire ends a machine that was removed and never heard so.
+func (w *world) retire(number uint64) {
+	for _, m := range w.machines {
+		if m.number == number {
+			m.die(false)
+			m.fs.Wipe()
+			m.number = 0
+			w.after(400, func() { w.enter(m) })
+		}
+	}
+}
+
 // member says whether the leader knows the machine as a voter.
 func (w *world) member(m *machine) bool {
 	if lead := w.leader(); lead != nil {
@@ -171,7 +222,7 @@
 	w.loss = 0
 	for _, m := range w.machines {
 		m.fs.Room = -1
-		m.dieIn = 0
+		m.dieIn, m.stalled = 0, 0
 		m.start()
 	}
 }
@@ -243,7 +294,7 @@
 			Base:     base,
 			Author:   id,
 			At:       time.UnixMilli(w.now),
-			Document: document(w.made),
+			Document: w.document(w.made),
 		}
 		w.propose(n, m, c, w.now, 8)
 	})
@@ -252,7 +303,7 @@
 func (w *world) read(n int, m *machine) {
 	call := w.now
 	done := false
-	t := m.inst.Read()
+	t := m.live().Read()
 	m.answers[t] = func(a consensus.Answer) {
 		done = true
 		w.client(n)
@@ -302,7 +353,7 @@
 		w.unknown(n, c, call)
 	}
 	w.trace("client %d proposes %s on revision %d to %s", n, c.ID, c.Base, m.name)
-	t := m.inst.Propose(c)
+	t := m.live().Propose(c, false)
 	m.answers[t] = func(a consensus.Answer) {
 		done = true
 		if a.Err != nil {
@@ -316,8 +367,13 @@
 			w.res.Accepted++
 			w.acked[c.ID] = o.Revision
 			w.record(n, input{true, c.Base, c.ID}, output{accepted: true, revision: o.Revision}, call)
+		case agreement.Withdrawn:
+			w.res.Withdrawn++
 		case agreement.Conflict:
 			w.res.Refused++
+			if o.Revision == c.Base {
+				break // another change took hold, and may be in force or not
+			}
 			w.record(n, input{true, c.Base, c.ID}, output{}, call)
 		default:
 			w.violate("change %s is %v: %v", c.ID, o.Code, o.Problems)
@@ -383,14 +439,19 @@
 		}
 	}
 	ok := false
-	c := agreement.Change{ID: "last", Base: lead.inst.State().Newest().Revision, Document: document(1 << 20)}
-	t := lead.inst.Propose(c)
+	c := agreement.Change{ID: "last", Base: lead.inst.State().Newest().Revision, Document: w.document(1 << 20)}
+	t := lead.live().Propose(c, false)
 	lead.answers[t] = func(a consensus.Answer) { ok = a.Err == nil && a.Outcome.Code == agreement.Accepted }
 	lead.drive()
-	w.run(100)
+	w.run(400)
 	if !ok {
 		w.violate("the group takes no change though all is well")
 	}
+	for _, m := range w.up() {
+		if w.member(m) && !m.front.permit.May(m.local(), m.front.running) {
+			w.violate("%s admits nothing though all is well: %+v, running %d", m.name, m.front.permit, m.front.running)
+		}
+	}
 	// A change that its client gave up came into force some time or never. Where it did, the
 	// agreed order says as what; one that never did bears on nothing.
 	w.history = slices.DeleteFunc(w.history, func(o porcupine.Operation) bool {
--- a/internal/prove/world.go
+++ b/internal/prove/world.go
@@ -15,6 +15,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
+	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 	"moorstack/internal/store/faultfs"
@@ -48,6 +50,9 @@
 	Refused    int            `json:"refused"`
 	Unknown    int            `json:"unknown"`
 	Reads      int            `json:"reads"`
+	Withdrawn  int            `json:"withdrawn"`
+	Admitted   int            `json:"admitted"`
+	Turned     int            `json:"turned_away"`
 	Terms      uint64         `json:"terms"`
 	Faults     map[string]int `json:"faults"`
 	Violations []string       `json:"violations,omitempty"`
@@ -95,6 +100,12 @@
 	applied  uint64
 	answers  map[consensus.Ticket]func(consensus.Answer)
 	unsynced int
+
+	clock   time.Duration // its own, as of clockAt
+	clockAt int64
+	stalled int64 // it stands still until then
+	front   front
+	permits []rollout.Permit // that its fronts have not come to yet
 }
 
 type world struct {
@@ -118,6 +129,8 @@
 	calm     bool
 	log      *logrus.Logger
 	numbers  uint64
+	newest   uint64 // revision that a job was admitted under
+	newestAt string
 }
 
 // Run plays one story to its end.
@@ -180,7 +193,7 @@
 		w.add(fmt.Sprintf("n%d", n+1))
 	}
 	first := w.machines[0]
-	if err := first.inst.Bootstrap("sim", "a:n1", document(0), 0); err != nil {
+	if err := first.live().Bootstrap("sim", "a:n1", w.document(0), 0); err != nil {
 		w.violate("bootstrap: %v", err)
 		return
 	}
@@ -192,6 +205,7 @@
 	for n := range 3 {
 		w.client(n)
 	}
+	w.tidy()
 	for range w.o.Steps {
 		w.fault()
 		w.run(int64(5 + w.faults.IntN(60)))
@@ -206,11 +220,15 @@
 }
 
 // document is a valid one that is unlike others.
-func document(n int) *agreement.Document {
-	return &agreement.Document{
+func (w *world) document(n int) *agreement.Document {
+	d := &agreement.Document{
 		Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Aim: 1e9,
 			Worth: float64(n)}},
 	}
+	if w.o.Seed%4 == 3 {
+		d.Sections = map[string]map[string]string{rollout.Section: {"cut_off": rollout.Serve}}
+	}
+	return d
 }
 
 func (w *world) add(name string) *machine {
@@ -228,7 +246,8 @@
 	}
 	w := m.w
 	m.life++
-	m.told, m.applied, m.dieIn = 0, 0, 0
+	m.told, m.applied, m.dieIn, m.stalled = 0, 0, 0, 0
+	m.front, m.permits = front{}, nil
 	m.answers = map[consensus.Ticket]func(consensus.Answer){}
 	saved := consensus.NewSaved()
 	var err error
@@ -256,16 +275,15 @@
 	m.number, _, _ = m.inst.Identity()
 	w.trace("%s starts as %x", m.name, m.number)
 	m.drive()
-	m.beat(m.life)
+	m.beat()
+	m.jobs()
 }
 
-func (m *machine) beat(life int) {
-	m.w.after(m.pace, func() {
-		if m.life == life && m.inst != nil {
-			m.inst.Tick()
-			m.drive()
-			m.beat(life)
-		}
+func (m *machine) beat() {
+	m.later(m.pace, func() {
+		m.live().Tick()
+		m.drive()
+		m.beat()
 	})
 }
 
@@ -336,7 +354,7 @@
 		return
 	}
 	life := m.life
-	err := consensus.Drive(m.inst, m, func(e consensus.Effects) {
+	err := consensus.Drive(m.inst, m, m.local, func(e consensus.Effects) {
 		if m.life == life {
 			m.carry(e)
 		}
@@ -360,6 +378,10 @@
 		m.told = r.Revision
 		m.w.agreed(m.name, r.Revision, r.ID)
 	}
+	m.toldFronts(e)
+	for _, x := range e.Sessions {
+		m.w.say(m, x)
+	}
 	for _, msg := range e.Messages {
 		if m.fatal() { // with some of the messages gone out
 			m.w.after(1, func(life int) func() {
@@ -444,11 +466,48 @@
 		ok := w.at(msg.GetTo()) != nil
 		w.after(15, func() {
 			if sender.life == life && sender.inst != nil {
-				sender.inst.SnapshotSent(msg.GetTo(), ok)
+				sender.live().SnapshotSent(msg.GetTo(), ok)
 				sender.drive()
 			}
 		})
 	}
+	w.carry(from, msg.GetTo(), func(to *machine) {
+		got := &pb.Message{}
+		if err := proto.Unmarshal(raw, got); err != nil {
+			w.violate("a message that can't be read: %v", err)
+			return
+		}
+		if err := to.live().Step(got); err != nil {
+			w.trace("%s refuses %v of %s: %v", to.name, got.GetType(), from.name, err)
+		}
+		to.drive()
+	})
+}
+
+// say carries a word on sessions.
+func (w *world) say(from *machine, x consensus.SessionMessage) {
+	raw, err := proto.Marshal(x.Message)
+	if err != nil {
+		w.violate("a word on sessions that can't be written: %v", err)
+		return
+	}
+	number := from.number
+	w.trace("%s to %x: %v", from.name, x.To, x.Message)
+	w.carry(from, x.To, func(to *machine) {
+		got := &schema.SessionMessage{}
+		if err := proto.Unmarshal(raw, got); err != nil {
+			w.violate("a word on sessions that can't be read: %v", err)
+			return
+		}
+		if err := to.live().StepSession(number, got); err != nil {
+			w.trace("%s refuses a word on sessions of %s: %v", to.name, from.name, err)
+		}
+		to.drive()
+	})
+}
+
+// carry has something reach an instance, as a bad network does: late, twice or never.
+func (w *world) carry(from *machine, number uint64, f func(to *machine)) {
 	copies := 1
 	if !w.calm {
 		if w.rng.Float64() < w.loss {
@@ -464,19 +523,14 @@
 			delay += int64(w.rng.IntN(400)) // and others overtake it
 		}
 		w.after(delay, func() {
-			to := w.at(msg.GetTo())
-			if to == nil || w.cut[[2]string{from.name, to.name}] {
-				return
-			}
-			got := &pb.Message{}
-			if err := proto.Unmarshal(raw, got); err != nil {
-				w.violate("a message that can't be read: %v", err)
-				return
-			}
-			if err := to.inst.Step(got); err != nil {
-				w.trace("%s refuses %v of %s: %v", to.name, got.GetType(), from.name, err)
+			to := w.at(number)
+			switch {
+			case to == nil || w.cut[[2]string{from.name, to.name}]:
+			case w.now < to.stalled: // it waits in the kernel
+				to.later(to.stalled-w.now+int64(w.rng.IntN(3)), func() { f(to) })
+			default:
+				f(to)
 			}
-			to.drive()
 		})
 	}
 }
@@ -504,7 +558,7 @@
 		return
 	}
 	if _, _, cluster := m.inst.Identity(); cluster == "" {
-		if err := m.inst.Join("sim"); err != nil {
+		if err := m.live().Join("sim"); err != nil {
 			w.violate("%s can't join: %v", m.name, err)
 			return
 		}
@@ -530,7 +584,7 @@
 
 func (w *world) operate(lead *machine, op *schema.Operation, number uint64) {
 	w.trace("%s is asked: %v %s %s", lead.name, op.Kind, op.Name, op.By)
-	t := lead.inst.Operate(op, number)
+	t := lead.live().Operate(op, number)
 	lead.answers[t] = func(a consensus.Answer) { w.trace("%v %s: %v", op.Kind, op.Name, a.Err) }
 	lead.drive()
 }
