--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"moorstack/internal/prove"
+	"moorstack/internal/rig"
 )
 
 // group is instances as processes, and the commands that an operator has for them.
@@ -29,7 +29,7 @@
 func newGroup(t *testing.T) *group {
 	g := &group{t: t, dir: t.TempDir(), proc: map[string]*exec.Cmd{}, addr: map[string]string{},
 		tls: map[string]string{}}
-	check(t, os.WriteFile(filepath.Join(g.dir, "platform.json"), prove.SamplePlatform(), 0o600))
+	check(t, os.WriteFile(filepath.Join(g.dir, "platform.json"), rig.SamplePlatform(), 0o600))
 	g.must("keys", "new-ca")
 	t.Cleanup(func() {
 		for name := range g.proc {
--- a/cmd/moorstack/prove.go
+++ b/cmd/moorstack/prove.go
@@ -18,7 +18,7 @@
 
 func newProve(g *global) *cobra.Command {
 	cmd := &cobra.Command{Use: "prove", Short: "Try to break what the program promises"}
-	cmd.AddCommand(newProveConfig(g))
+	cmd.AddCommand(newProveConfig(g), newProveCluster(g))
 	return cmd
 }
 
@@ -50,8 +50,8 @@
 clients saw can be put in one order (porcupine). A seed is a whole story and the same
 each time.
 
-With --processes it starts three real instances on loopback with mutual TLS instead,
-and kills the leader with SIGKILL at random points over --changes changes.
+With --processes it plays the story of "prove cluster" in which whoever leads dies by SIGKILL,
+again and again, while --changes changes are made at three real instances.
 
 It exits with 1 if anything was broken.`,
 		Example: `  moorstack prove config --seeds 1000
@@ -61,7 +61,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if f.processes {
-				return proveProcesses(cmd, g, &f)
+				return proveCluster(cmd, g, &clusterFlags{processes: 3, length: 10 * time.Minute, kills: true,
+					tick: 50 * time.Millisecond, seed: max(f.first, uint64(max(f.seed, 0))), changes: f.changes,
+					keep: f.keep, rate: 20})
 			}
 			return proveStories(cmd, g, &f)
 		},
--- /dev/null
+++ b/cmd/moorstack/prove_cluster.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"moorstack/internal/rig"
+)
+
+type clusterFlags struct {
+	processes, voters int
+	length, tick      time.Duration
+	seed              uint64
+	story, keep       string
+	rate              float64
+	changes           int
+	shrink, quiet     bool
+	trace, kills      bool
+}
+
+func newProveCluster(g *global) *cobra.Command {
+	var f clusterFlags
+	cmd := &cobra.Command{
+		Use:   "cluster",
+		Short: "Try to break a group of real processes by faults between them and of them",
+		Long: `cluster starts real instances on loopback, with a link for each ordered pair, and plays a
+story: faults of links and of processes, while changes of the configuration are made and jobs
+run. It then audits, in the order of the clock that all processes share, that no job was admitted
+under a policy after another was under a later one, anywhere; that no change is lost, half in
+force or twice; and that all instances agree and admit jobs again once all is well.
+
+A story is drawn from the seed, or read from a file, a line a fault, in the order of time:
+
+  1.5s  stall  n2 800ms
+  2s    cut    n1 n3
+  4s    heal
+
+The faults:
+
+` + rig.Faults() + `
+An instance is named n1, n2, ... or "leader", who leads when the fault comes. A story that breaks
+something is written to a file, with --shrink with the fewest lines that still do.
+
+It exits with 1 if anything was broken, and leaves no process behind.`,
+		Example: `  moorstack prove cluster --processes 5 --for 60s --seed 7
+  moorstack prove cluster --processes 3 --story found/story.txt --trace
+  moorstack prove cluster --processes 40 --voters 5 --quiet --for 20s    # no faults: the figures`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return proveCluster(cmd, g, &f) },
+	}
+	fl := cmd.Flags()
+	fl.IntVar(&f.processes, "processes", 3, "how many instances, 3 to 40")
+	fl.IntVar(&f.voters, "voters", 0, "how many of them have a vote; 0: up to five")
+	fl.DurationVar(&f.length, "for", 30*time.Second, "how long changes and faults go on")
+	fl.DurationVar(&f.tick, "tick", 50*time.Millisecond, "the agreement's unit of time")
+	fl.Uint64Var(&f.seed, "seed", 1, "draws the story, and who is asked")
+	fl.StringVar(&f.story, "story", "", "play the story in this `file` instead")
+	fl.Float64Var(&f.rate, "rate", 20, "jobs a second at each instance; 0: none")
+	fl.IntVar(&f.changes, "changes", 0, "at most so many changes; 0: as many as there is time for")
+	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
+	fl.BoolVar(&f.shrink, "shrink", false, "play a story that breaks something again, with fewer faults each time")
+	fl.BoolVar(&f.trace, "trace", false, "print each fault and change")
+	fl.StringVar(&f.keep, "keep", "", "keep files, logs and journals in this `directory`")
+	addOutput(cmd, g)
+	return cmd
+}
+
+func (f *clusterFlags) check() error {
+	switch {
+	case f.processes < 3 || f.processes > 40:
+		return fmt.Errorf("--processes: %d is not from 3 to 40", f.processes)
+	case f.voters < 0 || f.voters > min(f.processes, 9):
+		return fmt.Errorf("--voters: %d is not from 1 to %d", f.voters, min(f.processes, 9))
+	case f.length < time.Second || f.length > time.Hour:
+		return fmt.Errorf("--for: %v is not from 1s to 1h", f.length)
+	case f.tick < 10*time.Millisecond || f.tick > 5*time.Second:
+		return fmt.Errorf("--tick: %v is not from 10ms to 5s", f.tick)
+	case f.changes < 0 || f.changes > 100_000:
+		return fmt.Errorf("--changes: %d is not from 1 to 100000", f.changes)
+	case f.rate < 0 || f.rate > 1000:
+		return fmt.Errorf("--rate: %v is not from 0 to 1000", f.rate)
+	case f.quiet && f.story != "":
+		return fmt.Errorf("--quiet and --story don't go together")
+	}
+	return nil
+}
+
+func proveCluster(cmd *cobra.Command, g *global, f *clusterFlags) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	names := rig.Names(f.processes)
+	var story []rig.Fault
+	switch {
+	case f.story != "":
+		raw, err := os.ReadFile(f.story)
+		if err != nil {
+			return err
+		}
+		if story, err = rig.ReadStory(f.story, raw, names); err != nil {
+			return err
+		}
+	case f.kills:
+		story = rig.Kills(f.seed, f.length)
+	case !f.quiet:
+		story = rig.Draw(f.seed, names, f.length)
+	}
+	dir := f.keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "rig"); err != nil {
+			return exitError{exitFailed, err}
+		}
+		defer os.RemoveAll(dir)
+	}
+	r, err := f.play(cmd, dir, story)
+	if err != nil {
+		return exitError{exitFailed, err}
+	}
+	if len(r.Violations) > 0 && f.shrink {
+		story = rig.Shrink(story, func(s []rig.Fault) bool {
+			again, err := f.play(cmd, dir, s)
+			if err == nil && len(again.Violations) > 0 {
+				r = again
+				return true
+			}
+			return false
+		})
+	}
+	if err := g.print(cmd.OutOrStdout(), r, clusterTable(r)); err != nil {
+		return err
+	}
+	if len(r.Violations) == 0 {
+		return nil
+	}
+	if err := os.MkdirAll("found", 0o700); err != nil {
+		return exitError{exitFailed, err}
+	}
+	path := filepath.Join("found", fmt.Sprintf("story-%d-%d.txt", f.processes, f.seed))
+	if err := os.WriteFile(path, rig.WriteStory(story), 0o600); err != nil {
+		return exitError{exitFailed, err}
+	}
+	return exitError{exitFailed, fmt.Errorf("%d violations; the story is in %s: play it again with --story",
+		len(r.Violations), path)}
+}
+
+// play plays a story in a directory of its own.
+func (f *clusterFlags) play(cmd *cobra.Command, dir string, story []rig.Fault) (*rig.Result, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	// A socket's path has little room, and a story must not find another's files.
+	at, err := os.MkdirTemp(dir, "p")
+	if err == nil {
+		at, err = filepath.Abs(at)
+	}
+	if err != nil {
+		return nil, err
+	}
+	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self, Dir: at,
+		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
+		Seed: f.seed}}
+	if f.trace {
+		o.Trace = cmd.ErrOrStderr()
+	} else if terminal(os.Stderr) {
+		o.Progress = func(at time.Duration, r *rig.Result) {
+			fmt.Fprintf(os.Stderr, "\r%3.0f of %.0f s: %d faults, %d changes in force, %d withdrawn ", at.Seconds(),
+				f.length.Seconds(), r.Faults, r.InForce, r.Withdrawn)
+		}
+		defer fmt.Fprint(os.Stderr, "\r\033[K")
+	}
+	ctx, stop := context.WithTimeout(cmd.Context(), 2*f.length+5*time.Minute)
+	defer stop()
+	return rig.Run(ctx, o)
+}
+
+func clusterTable(r *rig.Result) table {
+	t := table{head: []string{"", "P50", "P99", "MAX", "OF"}}
+	line := func(what string, v []time.Duration) {
+		q := func(q float64) string { return quantile(v, q).Round(10 * time.Microsecond).String() }
+		t.add(what, q(0.5), q(0.99), q(1), len(v))
+	}
+	line("from propose to in force", r.Took)
+	line("pause in admission for a change", r.Pauses)
+	t.add("")
+	t.add(fmt.Sprintf("%d instances, %.1f s, %d faults; %d changes in force, %d withdrawn, %d calls repeated",
+		r.Instances, r.Seconds, r.Faults, r.InForce, r.Withdrawn, r.Repeats))
+	t.add(fmt.Sprintf("%d jobs sent: %d served, %d refused by sessions, %d refused, %d failed, %d without an answer",
+		r.Jobs.Sent, r.Jobs.Served, r.Jobs.Policy, r.Jobs.Refused, r.Jobs.Failed, r.Jobs.Lost))
+	t.add(fmt.Sprintf("%.0f messages a second between all instances at rest", r.Messages))
+	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs", r.Back.Round(time.Millisecond)))
+	t.add(fmt.Sprintf("%d admissions audited, %d violations", r.Admitted, len(r.Violations)))
+	for _, v := range r.Violations {
+		t.add("  " + v)
+	}
+	for _, v := range r.Last {
+		t.add("    " + v)
+	}
+	return t
+}
+
+// quantile is the smallest of the values that is not less than the given part of them.
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(values))
+	return s[min(int(q*float64(len(s))), len(s)-1)]
+}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -62,6 +62,14 @@
 	return g.lease
 }
 
+// opened notes that jobs may come in from this turn on: the permit and the fronts go by the same
+// revision.
+func (g *gate) opened() {
+	if g.permit.Open && g.permit.Revision == g.running && (g.permit.Forever || g.permit.Until > 0) {
+		g.note("open %d", g.running)
+	}
+}
+
 // note writes a line of the journal.
 func (g *gate) note(format string, args ...any) {
 	if g.journal != nil {
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -121,7 +121,7 @@
 	if _, err := i.ownRoutes(); err != nil {
 		return err
 	}
-	i.network = peers.New(k, cfg.Name, cfg.Peers.Listen, i.program, log.WithField("part", "peers"))
+	i.network = peers.New(k, cfg.Name, cfg.Peers.Advertise, cfg.Peers.From, i.program, log.WithField("part", "peers"))
 	i.started("the peers' network", func() error { i.network.Close(); return nil })
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
@@ -220,6 +220,7 @@
 			}
 		}
 		i.gate.permit = p
+		i.gate.opened()
 		// Hazard: the yes must follow the turn in which the fronts have ceased to admit.
 		if !p.Open && p.Change != "" {
 			i.runner.Closed(p.Change, p.Attempt)
@@ -295,6 +296,7 @@
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
+				i.gate.opened()
 			}
 		}
 		err = configure(t)
@@ -506,7 +508,7 @@
 func (i *Instance) First() (*agreement.Document, error) { return agreement.FromSettings(i.own), nil }
 
 // Address implements control.Host.
-func (i *Instance) Address() string { return i.cfg.Peers.Listen }
+func (i *Instance) Address() string { return i.cfg.Peers.Advertise }
 
 // Program implements control.Host.
 func (i *Instance) Program() string { return i.program }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -29,8 +29,12 @@
 	} `toml:"front"`
 
 	Peers struct {
-		Listen string   `toml:"listen"` // where other instances reach this one
-		Tick   duration `toml:"tick"`   // the agreement's unit of time; the same at all instances
+		Listen string `toml:"listen"` // where this instance listens for others
+		// Where others reach it, if something stands between: a forwarder, or another network.
+		Advertise string `toml:"advertise"`
+		// The address that it calls others from, where the machine has several.
+		From string   `toml:"from"`
+		Tick duration `toml:"tick"` // the agreement's unit of time; the same at all instances
 	} `toml:"peers"`
 
 	Keys keys.Files `toml:"keys"`
@@ -80,6 +84,7 @@
 		key, value string
 		must       bool
 	}{{"peers.listen", c.Peers.Listen, true}, {"control.listen", c.Control.Listen, false},
+		{"peers.advertise", c.Peers.Advertise, false},
 		{"front.listen", c.Front.Listen, false}, {"front.discovery", c.Front.Discovery, false},
 		{"front.admin", c.Front.Admin, false}} {
 		if a.value == "" && !a.must {
@@ -89,6 +94,12 @@
 			return nil, bad(a.key, "%q is not an address and a port", a.value)
 		}
 	}
+	if c.Peers.Advertise == "" {
+		c.Peers.Advertise = c.Peers.Listen
+	}
+	if _, err := netip.ParseAddr(c.Peers.From); err != nil && c.Peers.From != "" {
+		return nil, bad("peers.from", "%q is not an address; it has no port", c.Peers.From)
+	}
 	if c.Peers.Tick == 0 {
 		c.Peers.Tick = duration(100 * time.Millisecond)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdnet "net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	log     logrus.FieldLogger
 	self    agreement.Member // its name and address; the number and the group come from the runner
 	program string
+	from    string // the address that it calls from; empty: any
 
 	runner *consensus.Runner
 
@@ -54,9 +56,11 @@
 	foreign atomic.Uint64
 }
 
-// New makes the network of an instance of that name, which others reach at the address.
-func New(k *keys.Store, name, address, program string, log logrus.FieldLogger) *Network {
+// New makes the network of an instance of that name, which others reach at the address, and
+// which calls them from another one, if that is not empty.
+func New(k *keys.Store, name, address, from, program string, log logrus.FieldLogger) *Network {
 	return &Network{keys: k, log: log, self: agreement.Member{Name: name, Address: address}, program: program,
+		from:  from,
 		links: map[string]*link{}}
 }
 
@@ -137,6 +141,13 @@
 func (n *Network) dial(to agreement.Member) (*grpc.ClientConn, error) {
 	return grpc.NewClient(
 		"passthrough:///"+to.Address,
+		grpc.WithContextDialer(func(ctx context.Context, address string) (stdnet.Conn, error) {
+			d := stdnet.Dialer{}
+			if n.from != "" {
+				d.LocalAddr = &stdnet.TCPAddr{IP: stdnet.ParseIP(n.from)}
+			}
+			return d.DialContext(ctx, "tcp", address)
+		}),
 		grpc.WithTransportCredentials(credentials.NewTLS(n.keys.Client(to.Name))),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 2 * time.Second,
 			Backoff: backoff.Config{
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,372 @@
+// Package rig plays stories of failure round real processes: instances of a group on loopback,
+// with a link for each ordered pair that can be cut, delayed or broken either way, processes
+// that are stopped and killed, jobs meanwhile, and an audit of what they all did in the order
+// of the clock that they share.
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"moorstack/internal/control"
+	"moorstack/internal/emulate"
+	"moorstack/internal/keys"
+	"moorstack/internal/schema"
+	"moorstack/internal/stage"
+)
+
+// Options are what a fleet is made of.
+type Options struct {
+	Program   string // to start
+	Dir       string // an empty directory for all of it
+	Instances int
+	Voters    int // the first so many; 0: up to five
+	Tick      time.Duration
+	Platform  []byte  // the platform file that all share
+	Rate      float64 // jobs a second at each instance; 0: none, and no workers
+	Seed      uint64
+}
+
+// Process is an instance's process.
+type Process struct {
+	Name, Peers string // Peers: where the others reach it
+	Front       string
+	file, sock  string
+	log         *os.File
+	stage       *stage.Stage
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	stalled bool
+
+	Client schema.ControlClient
+	end    func() error
+}
+
+// Fleet is the processes and what is between them.
+type Fleet struct {
+	Links *Links
+	List  []*Process
+	o     Options
+}
+
+// Names of a fleet's instances.
+func Names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("n%d", i+1)
+	}
+	return list
+}
+
+// New prepares a fleet's files and forwarders, and starts its processes.
+func New(o Options) (*Fleet, error) {
+	if o.Voters == 0 {
+		o.Voters = min(o.Instances, 5)
+	}
+	f := &Fleet{o: o, Links: NewLinks()}
+	err := f.prepare()
+	for _, p := range f.List {
+		if err == nil {
+			err = f.Start(p)
+		}
+	}
+	if err != nil {
+		f.End()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) prepare() error {
+	ca, err := keys.NewCA("rig", time.Now(), 24*time.Hour)
+	if err != nil {
+		return err
+	}
+	k := filepath.Join(f.o.Dir, "keys")
+	if err := ca.Write(k, "ca", false); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(f.o.Dir, "platform.json"), f.o.Platform, 0o600); err != nil {
+		return err
+	}
+	// Each instance has an address of its own: by it a forwarder knows who calls.
+	net16 := rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano()))).IntN(1 << 15)
+	for n, name := range Names(f.o.Instances) {
+		pair, err := ca.Issue(name, keys.Instance, time.Now(), 24*time.Hour)
+		if err != nil {
+			return err
+		}
+		if err := pair.Write(k, name, false); err != nil {
+			return err
+		}
+		host := netip.AddrFrom4([4]byte{127, byte(64 + net16>>9&63), byte(net16), byte(n + 1)})
+		if err := f.add(name, host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func freePort(host string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (f *Fleet) add(name string, host netip.Addr) error {
+	p := &Process{Name: name, file: filepath.Join(f.o.Dir, name+".toml"), sock: filepath.Join(f.o.Dir, name+".sock")}
+	f.List = append(f.List, p)
+	listen, err := freePort(host.String())
+	if err != nil {
+		return err
+	}
+	if p.Front, err = freePort(host.String()); err != nil {
+		return err
+	}
+	if p.Peers, err = f.Links.Front(name, host, listen); err != nil {
+		return err
+	}
+	discovery := ""
+	if f.o.Rate > 0 {
+		if p.stage, err = stage.Start(stage.Options{Node: p.Front, Workers: 2, Zone: "z", Kind: "k", Seed: f.o.Seed,
+			Spec: emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
+				ColdShare: 1, Refresh: 200 * time.Millisecond}}); err != nil {
+			return err
+		}
+		discovery = fmt.Sprintf("discovery = %q\n", p.stage.Discovery())
+	}
+	text := fmt.Sprintf("name = %q\ndata = %[1]q\naudit = \"%[1]s.audit\"\n[front]\nplatform = \"platform.json\"\n"+
+		"listen = %[2]q\n%[3]s[peers]\nlisten = %[4]q\nadvertise = %[5]q\nfrom = %[6]q\ntick = %[7]q\n"+
+		"[keys]\nca = \"keys/ca.crt\"\ncert = \"keys/%[1]s.crt\"\nkey = \"keys/%[1]s.key\"\n"+
+		"[control]\nsocket = \"%[1]s.sock\"\n",
+		name, p.Front, discovery, listen, p.Peers, host, f.o.Tick)
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	p.log, err = os.Create(filepath.Join(f.o.Dir, name+".log"))
+	return err
+}
+
+// Start starts an instance's process, unless it runs.
+func (f *Fleet) Start(p *Process) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	cmd := exec.Command(f.o.Program, "serve", "--config", p.file)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	// Hazard: were this program killed itself, the instances would go on for ever.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.stalled = cmd, false
+	if p.Client == nil {
+		var err error
+		if p.Client, p.end, err = control.Dial(control.Target{Socket: p.sock}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kill ends an instance's process, if it runs.
+func (f *Fleet) Kill(p *Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		p.cmd = nil
+	}
+}
+
+// Stall has a process stand still, or go on.
+func (f *Fleet) Stall(p *Process, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.stalled == on {
+		return
+	}
+	sig := syscall.SIGCONT
+	if on {
+		sig = syscall.SIGSTOP
+	}
+	_ = p.cmd.Process.Signal(sig)
+	p.stalled = on
+}
+
+// Up says whether an instance's process runs and does not stand still.
+func (p *Process) Up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.stalled
+}
+
+// End ends all of it.
+func (f *Fleet) End() {
+	for _, p := range f.List {
+		f.Kill(p)
+		if p.end != nil {
+			_ = p.end()
+		}
+		if p.stage != nil {
+			p.stage.Close()
+		}
+		if p.log != nil {
+			p.log.Close()
+		}
+	}
+	f.Links.Close()
+}
+
+// Until tries something until it succeeds, for a minute.
+func Until(ctx context.Context, what string, try func(context.Context) error) error {
+	err := errors.New("not tried")
+	for end := time.Now().Add(time.Minute); time.Now().Before(end) && ctx.Err() == nil; {
+		call, stop := context.WithTimeout(ctx, 5*time.Second)
+		err = try(call)
+		if stop(); err == nil {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%s: %w", what, err)
+}
+
+// Form makes a group of all instances.
+func (f *Fleet) Form(ctx context.Context) error {
+	first := f.List[0]
+	if err := Until(ctx, "making a group", func(ctx context.Context) error {
+		_, err := first.Client.Init(ctx, &schema.InitRequest{}, grpc.WaitForReady(true))
+		return err
+	}); err != nil {
+		return err
+	}
+	for n, p := range f.List[1:] {
+		ops := []*schema.Operation{{Kind: schema.Operation_ADD, Name: p.Name, Address: p.Peers}}
+		if n+1 < f.o.Voters {
+			ops = append(ops, &schema.Operation{Kind: schema.Operation_PROMOTE, Name: p.Name})
+		}
+		for _, op := range ops {
+			if err := Until(ctx, op.Kind.String()+" "+p.Name, func(ctx context.Context) error {
+				_, err := first.Client.Operate(ctx, op)
+				return err
+			}); err != nil {
+				return err
+			}
+		}
+	}
+	return f.Well(ctx)
+}
+
+// Well waits until every instance admits jobs.
+func (f *Fleet) Well(ctx context.Context) error {
+	for _, p := range f.List {
+		if err := Until(ctx, "waiting for "+p.Name, func(ctx context.Context) error {
+			s := p.Status(ctx)
+			if s == nil || !s.Admits {
+				return fmt.Errorf("it admits nothing: %s", s.GetAdmitsNot())
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Status asks an instance, or gives nil.
+func (p *Process) Status(ctx context.Context) *schema.StatusReply {
+	if !p.Up() {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	s, err := p.Client.Status(ctx, &schema.StatusRequest{})
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+// Leader is the process that leads in the highest term, or nil.
+func (f *Fleet) Leader(ctx context.Context) (*Process, uint64) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var best *Process
+	term := uint64(0)
+	for _, p := range f.List[:f.o.Voters] {
+		wg.Go(func() {
+			if s := p.Status(ctx); s != nil && s.Role == "leader" {
+				mu.Lock()
+				defer mu.Unlock()
+				if s.Term > term {
+					best, term = p, s.Term
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return best, term
+}
+
+// Named gives an instance by its name.
+func (f *Fleet) Named(name string) *Process {
+	for _, p := range f.List {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// SamplePlatform is a small platform file.
+func SamplePlatform() []byte {
+	class := func(name, effect string) map[string]any {
+		c := map[string]any{"name": name, "credit": 5, "effect": effect, "give_up": 5_000_000_000,
+			"slo": 1_000_000_000, "late_share": 0.5}
+		if effect == "dedup" {
+			c["key_scope"], c["window"] = "cell", 25_000_000_000
+		}
+		return c
+	}
+	b, err := json.Marshal(map[string]any{
+		"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1",
+		"limits": map[string]any{"memory_mb": 64, "sockets": 256},
+		"settings": map[string]any{"zones": []string{"z"}, "kinds": []string{"k"}, "fleet_size": 1,
+			"classes": []any{class("trip-quote", "retryable"), class("trip-book", "dedup")},
+			"tenants": []any{map[string]any{"name": "muscat", "share": 1}},
+			"blend":   map[string]any{"whole": 1}, "membership_mode": "on_request", "worth_by": "work",
+			"granularity": 5_000_000,
+			"contract": map[string]any{"answer_slack": 20_000_000, "ask_every": 10_000_000_000, "cold": 1_000_000,
+				"cold_share": 1, "drain_grace": 1_000_000_000, "fall": 1_000_000_000, "overload_factor": 3},
+			"limits": map[string]any{"try_limit": 5, "cancel": true, "conn_idle": 15_000_000_000,
+				"connect_timeout": 250_000_000, "max_retry_after": 2_000_000_000, "probes": true, "retry_after": true,
+				"second_copies": true},
+			"extra":  map[string]any{"report_x0": "free slots"},
+			"report": map[string]any{"how": "pull", "names": []string{"pending", "x0"}}},
+	})
+	if err != nil {
+		panic(err) // there is nothing in it that can't be written
+	}
+	return b
+}
--- /dev/null
+++ b/internal/rig/jobs.go
@@ -0,0 +1,90 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Jobs counts what became of the jobs that were sent.
+type Jobs struct {
+	Sent     int `json:"sent"`
+	Served   int `json:"served"`
+	Policy   int `json:"refused_by_sessions"` // while a change took hold, or without a lease
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Lost     int `json:"lost"` // no answer: the process died, or stood still for the client's time
+	Unsaid   int `json:"refused_without_return"`
+	Unstated int `json:"answers_of_other_kinds"`
+}
+
+// jobs sends to an instance at a rate of its own, whatever that does.
+func (f *Fleet) jobs(ctx context.Context, p *Process, into *Jobs, mu *sync.Mutex) {
+	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+	defer client.CloseIdleConnections()
+	tick := time.NewTicker(time.Duration(float64(time.Second) / f.o.Rate))
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	out := make(chan struct{}, 400)
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		case <-tick.C:
+		}
+		select {
+		case out <- struct{}{}:
+		default:
+			continue // as many as a client of ours can have out
+		}
+		mu.Lock()
+		into.Sent++
+		mu.Unlock()
+		wg.Go(func() {
+			defer func() { <-out }()
+			f.job(client, p, fmt.Sprintf("%s-%d-%d", p.Name, time.Now().UnixNano(), n), into, mu)
+		})
+	}
+}
+
+func (f *Fleet) job(client *http.Client, p *Process, id string, into *Jobs, mu *sync.Mutex) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.Front+"/job", strings.NewReader("x"))
+	if err != nil {
+		return
+	}
+	for k, v := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "trip-quote",
+		"X-Tenant-Id": "muscat", "X-Timeout": "5000m", "X-Cost": "2000"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := client.Do(req)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	switch {
+	case err != nil:
+		into.Lost++
+	case resp.StatusCode == http.StatusOK:
+		into.Served++
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		if resp.Header.Get("Retry-After") == "" {
+			into.Unsaid++
+		}
+		if resp.Header.Get("X-Refusal") != "" {
+			into.Policy++
+		} else {
+			into.Refused++
+		}
+	case resp.StatusCode == http.StatusBadGateway:
+		into.Failed++
+	default:
+		into.Unstated++
+	}
+}
--- /dev/null
+++ b/internal/rig/link.go
@@ -0,0 +1,208 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// way is how bytes fare from one instance to another, over all connections between the two,
+// whoever opened them.
+type way struct {
+	cut       bool          // nothing gets through, and nobody is told
+	refuse    bool          // new connections are closed at once
+	delay     time.Duration // of each piece, and up to as much again
+	bandwidth int           // bytes a second; 0: any
+}
+
+// Links carries everything between instances. In front of each stands a forwarder, which
+// knows by the source address who calls.
+type Links struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	ways    map[[2]string]way // from, to
+	names   map[netip.Addr]string
+	conns   map[*wire]bool
+	servers []net.Listener
+	closed  bool
+}
+
+// wire is a connection that is carried: its two ends, and who has opened it.
+type wire struct {
+	from, to string
+	a, b     net.Conn
+	dead     bool // half-open: what comes is taken and goes nowhere, for good
+}
+
+// NewLinks makes links without faults.
+func NewLinks() *Links {
+	l := &Links{ways: map[[2]string]way{}, names: map[netip.Addr]string{}, conns: map[*wire]bool{}}
+	l.changed = sync.NewCond(&l.mu)
+	return l
+}
+
+// Front opens the forwarder in front of an instance, which calls from an address of its own,
+// and gives where others reach it.
+func (l *Links) Front(name string, from netip.Addr, listens string) (string, error) {
+	s, err := net.Listen("tcp", net.JoinHostPort(from.String(), "0"))
+	if err != nil {
+		return "", fmt.Errorf("the forwarder of %s: %w", name, err)
+	}
+	l.mu.Lock()
+	l.names[from] = name
+	l.servers = append(l.servers, s)
+	l.mu.Unlock()
+	go l.accept(s, name, listens)
+	return s.Addr().String(), nil
+}
+
+func (l *Links) accept(s net.Listener, to, listens string) {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		at, _ := netip.ParseAddrPort(c.RemoteAddr().String())
+		l.mu.Lock()
+		from := l.names[at.Addr().Unmap()]
+		refused := l.closed || l.ways[[2]string{from, to}].refuse
+		l.mu.Unlock()
+		if refused {
+			reset(c)
+			continue
+		}
+		go l.connect(c, from, to, listens)
+	}
+}
+
+func (l *Links) connect(c net.Conn, from, to, listens string) {
+	// A cut way answers no call either.
+	if !l.pass(&wire{from: from, to: to}, from, to) || !l.pass(&wire{from: from, to: to}, to, from) {
+		c.Close()
+		return
+	}
+	d, err := net.DialTimeout("tcp", listens, time.Second)
+	if err != nil {
+		reset(c)
+		return
+	}
+	w := &wire{from: from, to: to, a: c, b: d}
+	l.mu.Lock()
+	l.conns[w] = true
+	l.mu.Unlock()
+	go l.carry(w, c, d, from, to)
+	go l.carry(w, d, c, to, from)
+}
+
+// pass waits until a way is not cut, and says whether it still matters.
+func (l *Links) pass(w *wire, from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.closed && (w.dead || l.ways[[2]string{from, to}].cut) {
+		l.changed.Wait()
+	}
+	return !l.closed
+}
+
+// carry takes bytes from one end to the other. What a cut holds back comes when it ends, as
+// with what TCP sends again.
+func (l *Links) carry(w *wire, in, out net.Conn, from, to string) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := in.Read(buf)
+		if n > 0 {
+			l.mu.Lock()
+			way := l.ways[[2]string{from, to}]
+			l.mu.Unlock()
+			if way.delay > 0 {
+				time.Sleep(way.delay + rand.N(way.delay))
+			}
+			if way.bandwidth > 0 {
+				time.Sleep(time.Duration(n) * time.Second / time.Duration(way.bandwidth))
+			}
+			if !l.pass(w, from, to) {
+				break
+			}
+			if _, bad := out.Write(buf[:n]); bad != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	l.pass(w, from, to) // an end is a message, too
+	w.a.Close()
+	w.b.Close()
+	l.mu.Lock()
+	delete(l.conns, w)
+	l.mu.Unlock()
+}
+
+// reset ends a connection so that the other side is told at once.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// Set changes how bytes fare from one instance to another.
+func (l *Links) set(from, to string, change func(*way)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.ways[[2]string{from, to}]
+	change(&w)
+	l.ways[[2]string{from, to}] = w
+	l.changed.Broadcast()
+}
+
+// Reset ends all connections between two instances.
+func (l *Links) Reset(a, b string) { l.each(a, b, func(w *wire) { reset(w.a); reset(w.b) }) }
+
+// HalfOpen has the connections that stand between two instances lead nowhere from now on.
+// New ones do.
+func (l *Links) HalfOpen(a, b string) { l.each(a, b, func(w *wire) { w.dead = true }) }
+
+func (l *Links) each(a, b string, f func(*wire)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for w := range l.conns {
+		if w.from == a && w.to == b || w.from == b && w.to == a {
+			f(w)
+		}
+	}
+}
+
+// Heal ends all faults.
+func (l *Links) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.ways)
+	for w := range l.conns {
+		if w.dead {
+			reset(w.a)
+			reset(w.b)
+			w.dead = false
+		}
+	}
+	l.changed.Broadcast()
+}
+
+// Close ends everything.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, s := range l.servers {
+		s.Close()
+	}
+	for w := range l.conns {
+		w.a.Close()
+		w.b.Close()
+	}
+	l.changed.Broadcast()
+}
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,423 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/schema"
+)
+
+// Play is what a story is played with.
+type Play struct {
+	Options
+	Story   []Fault
+	For     time.Duration // that changes and jobs go on for
+	Changes int           // at the most; 0: as many as there is time for
+	Trace   io.Writer     // each fault and change, a line; nil: none
+	// Progress is told how far it has come.
+	Progress func(at time.Duration, r *Result)
+}
+
+// Result is what was measured and found.
+type Result struct {
+	Instances  int             `json:"instances"`
+	Seconds    float64         `json:"seconds"`
+	Faults     int             `json:"faults"`
+	InForce    int             `json:"in_force"`
+	Withdrawn  int             `json:"withdrawn"`
+	Repeats    int             `json:"repeats"`      // calls made again under the same id
+	Took       []time.Duration `json:"took_ns"`      // from propose to in force, of those whose first call was answered
+	Pauses     []time.Duration `json:"pauses_ns"`    // in which an instance admitted nothing for a change
+	Back       time.Duration   `json:"back_ns"`      // from the last fault's end until all admitted jobs again
+	Messages   float64         `json:"messages_a_s"` // between all instances, while nothing happened
+	Admitted   int             `json:"admitted"`
+	Jobs       Jobs            `json:"jobs"`
+	Violations []string        `json:"violations,omitempty"`
+	Last       []string        `json:"last,omitempty"` // what the instances did last before what broke
+}
+
+type play struct {
+	Play
+	*Fleet
+	mu    sync.Mutex
+	res   Result
+	acked map[string]uint64
+	ended map[string]bool // changes that were withdrawn
+	rng   *rand.Rand
+}
+
+// Run plays a story round real processes and audits it.
+func Run(ctx context.Context, o Play) (*Result, error) {
+	f, err := New(o.Options)
+	if err != nil {
+		return nil, err
+	}
+	defer f.End()
+	p := &play{Play: o, Fleet: f, acked: map[string]uint64{}, ended: map[string]bool{},
+		rng: rand.New(rand.NewPCG(o.Seed, 11))}
+	p.res.Instances = o.Instances
+	if err := f.Form(ctx); err != nil {
+		return nil, err
+	}
+	if err := p.rest(ctx); err != nil {
+		return nil, err
+	}
+	if err := p.play(ctx); err != nil {
+		return nil, err
+	}
+	return &p.res, p.audit(ctx)
+}
+
+// rest counts the messages between instances while nothing happens.
+func (p *play) rest(ctx context.Context) error {
+	count := func() (n uint64, err error) {
+		for _, x := range p.List {
+			s := x.Status(ctx)
+			if s == nil {
+				return 0, fmt.Errorf("%s does not answer though nothing happens", x.Name)
+			}
+			n += s.Counters["messages_sent"]
+		}
+		return n, nil
+	}
+	before, err := count()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Second):
+	}
+	after, err := count()
+	p.res.Messages = float64(after-before) / time.Since(began).Seconds()
+	return err
+}
+
+func (p *play) trace(began time.Time, format string, args ...any) {
+	if p.Trace != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		fmt.Fprintf(p.Trace, "%8.3fs  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+func (p *play) play(ctx context.Context) error {
+	began := time.Now()
+	jobs, stop := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	if p.Rate > 0 {
+		for _, x := range p.List {
+			load.Go(func() { p.jobs(jobs, x, &p.res.Jobs, &p.mu) })
+		}
+	}
+	var story sync.WaitGroup
+	telling, ended := context.WithCancel(ctx)
+	defer ended()
+	story.Go(func() { p.tell(telling, began) })
+	err := p.changes(ctx, began)
+	ended()
+	story.Wait()
+	healed := time.Now()
+	p.Links.Heal()
+	for _, x := range p.List {
+		p.Stall(x, false)
+		err = errors.Join(err, p.Start(x))
+	}
+	if err == nil {
+		if err := p.Well(ctx); err != nil {
+			p.violate("all is well, and still: %v", err)
+		}
+	}
+	p.res.Back = time.Since(healed)
+	stop()
+	load.Wait()
+	p.res.Seconds = time.Since(began).Seconds()
+	return err
+}
+
+// tell brings the story's faults about, each at its time.
+func (p *play) tell(ctx context.Context, began time.Time) {
+	for _, f := range p.Story {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(began.Add(f.At))):
+		}
+		if f.At > p.For {
+			return
+		}
+		who := slices.Clone(f.Who)
+		for i, w := range who {
+			if w == Leader {
+				lead, _ := p.Leader(ctx)
+				if lead == nil {
+					who = nil
+					break
+				}
+				who[i] = lead.Name
+			}
+		}
+		if len(who) < len(f.Who) || len(who) == 2 && who[0] == who[1] {
+			p.trace(began, "%s: nobody leads, or the same one", f.Kind)
+			continue
+		}
+		p.trace(began, "fault: %s %v %v", f.Kind, who, f.For)
+		p.mu.Lock()
+		p.res.Faults++
+		p.mu.Unlock()
+		p.do(f, who)
+	}
+}
+
+func (p *play) do(f Fault, who []string) {
+	each := func(in, out bool) {
+		for _, x := range p.List {
+			if x.Name == who[0] {
+				continue
+			}
+			if in {
+				p.Links.set(x.Name, who[0], func(w *way) { w.cut = true })
+			}
+			if out {
+				p.Links.set(who[0], x.Name, func(w *way) { w.cut = true })
+			}
+		}
+	}
+	switch f.Kind {
+	case "cut":
+		p.Links.set(who[0], who[1], func(w *way) { w.cut = true })
+	case "isolate":
+		each(true, true)
+	case "deaf":
+		each(true, false)
+	case "mute":
+		each(false, true)
+	case "refuse":
+		p.Links.set(who[0], who[1], func(w *way) { w.refuse = true })
+	case "reset":
+		p.Links.Reset(who[0], who[1])
+	case "half-open":
+		p.Links.HalfOpen(who[0], who[1])
+	case "delay":
+		p.Links.set(who[0], who[1], func(w *way) { w.delay = f.For })
+	case "slow":
+		p.Links.set(who[0], who[1], func(w *way) { w.bandwidth = f.Rate })
+	case "heal":
+		p.Links.Heal()
+	case "stall":
+		x := p.Named(who[0])
+		p.Stall(x, true)
+		time.AfterFunc(f.For, func() { p.Stall(x, false) })
+	case "restart":
+		x := p.Named(who[0])
+		p.Kill(x)
+		time.AfterFunc(f.For, func() { _ = p.Start(x) })
+	case "kill":
+		p.Kill(p.Named(who[0]))
+	case "start":
+		if err := p.Start(p.Named(who[0])); err != nil {
+			p.violate("%s can't be started: %v", who[0], err)
+		}
+	}
+}
+
+func (p *play) violate(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.res.Violations) < 20 {
+		p.res.Violations = append(p.res.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// changes makes changes one after another, each through an instance at random, until the time
+// is up, and repeats what has no answer under the same id.
+func (p *play) changes(ctx context.Context, began time.Time) error {
+	for n := 0; time.Since(began) < p.For && (p.Changes == 0 || n < p.Changes); n++ {
+		if err := p.change(ctx, began, n); err != nil {
+			return err
+		}
+		if p.Progress != nil {
+			p.mu.Lock()
+			p.Progress(time.Since(began), &p.res)
+			p.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Duration(p.rng.IntN(200)) * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (p *play) change(ctx context.Context, began time.Time, n int) error {
+	id := fmt.Sprintf("change-%d", n)
+	var base uint64
+	var doc *agreement.Document
+	at := time.Now()
+	// A change may wait as long as the story lasts: then all is well, and it must be decided.
+	for try := 0; ; try++ {
+		if time.Since(at) > p.For+2*time.Minute {
+			return fmt.Errorf("%s: not decided after %v", id, time.Since(at).Round(time.Second))
+		}
+		if try > 0 {
+			p.res.Repeats++
+			time.Sleep(20 * time.Millisecond)
+			if time.Since(began) > p.For {
+				p.heal()
+			}
+		}
+		x := p.List[p.rng.IntN(len(p.List))]
+		if !x.Up() {
+			continue
+		}
+		call, stop := context.WithTimeout(ctx, 4*time.Second)
+		if doc == nil {
+			rev, err := x.Client.GetConfig(call, &schema.GetConfigRequest{})
+			if err == nil {
+				doc, err = agreement.Decode(rev.Document)
+			}
+			if err != nil {
+				stop()
+				continue
+			}
+			base = rev.Revision
+			doc.Classes[0].Worth = float64(n + 10)
+			at = time.Now()
+			try = 0
+		}
+		r, err := x.Client.Propose(call, &schema.ProposeRequest{Id: id, Base: base, Document: doc.Encode()})
+		stop()
+		if err != nil {
+			continue
+		}
+		switch r.Code {
+		case schema.ProposeReply_ACCEPTED:
+			if try == 0 {
+				p.res.Took = append(p.res.Took, time.Since(at))
+			}
+			p.trace(began, "%s is in force as revision %d, after %v", id, r.Revision, time.Since(at))
+			p.acked[id] = r.Revision
+			p.res.InForce++
+			return nil
+		case schema.ProposeReply_WITHDRAWN:
+			p.trace(began, "%s is withdrawn: %v", id, r.Problems)
+			p.ended[id] = true
+			p.res.Withdrawn++
+			return nil
+		case schema.ProposeReply_NO_LEADER, schema.ProposeReply_UNKNOWN:
+		default:
+			return fmt.Errorf("%s: %v: %v", id, r.Code, r.Problems) // there is one client: nothing else may have come first
+		}
+	}
+}
+
+// heal ends what a story has left.
+func (p *play) heal() {
+	p.Links.Heal()
+	for _, x := range p.List {
+		p.Stall(x, false)
+		_ = p.Start(x)
+	}
+}
+
+// audit looks at every change at every instance, and at what all of them did.
+func (p *play) audit(ctx context.Context) error {
+	last := uint64(1)
+	for _, rev := range p.acked {
+		last = max(last, rev)
+	}
+	var first []byte
+	for _, x := range p.List {
+		var h *schema.HistoryReply
+		if err := Until(ctx, "the history at "+x.Name, func(ctx context.Context) error {
+			if _, err := x.Client.GetConfig(ctx, &schema.GetConfigRequest{}); err != nil { // a barrier
+				return err
+			}
+			var err error
+			h, err = x.Client.History(ctx, &schema.HistoryRequest{})
+			return err
+		}); err != nil {
+			p.violate("%v", err)
+			continue
+		}
+		seen := map[string]uint64{}
+		var text bytes.Buffer
+		for _, r := range h.Revisions {
+			if was, ok := seen[r.Id]; ok {
+				p.violate("%s: change %s is revision %d and %d", x.Name, r.Id, was, r.Revision)
+			}
+			seen[r.Id] = r.Revision
+			fmt.Fprintln(&text, r.Revision, r.Id, r.AtMs, r.ForceMs)
+		}
+		for id, rev := range p.acked {
+			if rev >= h.Oldest && seen[id] != rev {
+				p.violate("%s: change %s was in force as revision %d and is %d", x.Name, id, rev, seen[id])
+			}
+		}
+		for id := range p.ended {
+			if seen[id] != 0 {
+				p.violate("%s: change %s was withdrawn and is revision %d", x.Name, id, seen[id])
+			}
+		}
+		if newest := h.Revisions[0].Revision; newest != last {
+			p.violate("%s: revision %d is the newest, %d was in force last", x.Name, newest, last)
+		}
+		if first == nil {
+			first = text.Bytes()
+		}
+		if !bytes.Equal(first, text.Bytes()) {
+			p.violate("%s has another history than %s", x.Name, p.List[0].Name)
+		}
+	}
+	all, err := p.journals()
+	if err != nil {
+		return err
+	}
+	broken, admitted := auditPolicies(all)
+	p.res.Admitted, p.res.Pauses = admitted, pauses(all)
+	for _, b := range broken {
+		p.violate("%s", b)
+	}
+	j := p.res.Jobs
+	if j.Unsaid > 0 {
+		p.violate("%d refusals did not say when to come back", j.Unsaid)
+	}
+	if j.Unstated > 0 {
+		p.violate("%d answers are of no kind that the protocol has", j.Unstated)
+	}
+	if p.Rate > 0 && p.res.Admitted == 0 {
+		p.violate("no job was admitted: there was nothing to audit")
+	}
+	if len(p.res.Violations) > 0 {
+		for _, e := range all[max(0, len(all)-30):] {
+			p.res.Last = append(p.res.Last, fmt.Sprintf("%v %s %s %s", e.at, e.who, e.what, e.rest))
+		}
+	}
+	return nil
+}
+
+// Shrink leaves out faults for as long as the story still breaks something, halves first.
+func Shrink(story []Fault, breaks func([]Fault) bool) []Fault {
+	for size := (len(story) + 1) / 2; size > 0; size /= 2 {
+		for at := 0; at < len(story); {
+			without := slices.Concat(story[:at], story[min(at+size, len(story)):])
+			if breaks(without) {
+				story = without
+			} else {
+				at += size
+			}
+		}
+	}
+	return story
+}
--- /dev/null
+++ b/internal/rig/story.go
@@ -0,0 +1,236 @@
+package rig
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Fault is a line of a story: when, what, whom.
+type Fault struct {
+	At   time.Duration
+	Kind string
+	Who  []string
+	For  time.Duration // of a stall, or of a delay's length
+	Rate int           // bytes a second
+	Line int           // in the file; 0: drawn
+}
+
+// shapes are the faults that there are: how many instances each names, and what it has beside.
+var shapes = map[string]struct {
+	who  int
+	span bool
+	rate bool
+	says string
+}{
+	"cut":       {who: 2, says: "nothing gets through from the first to the second"},
+	"isolate":   {who: 1, says: "nothing gets through to or from it"},
+	"deaf":      {who: 1, says: "nothing gets through to it"},
+	"mute":      {who: 1, says: "nothing gets through from it"},
+	"refuse":    {who: 2, says: "the first's new connections to the second are refused"},
+	"reset":     {who: 2, says: "the connections between the two are reset"},
+	"half-open": {who: 2, says: "the connections between the two lead nowhere; new ones do"},
+	"delay":     {who: 2, span: true, says: "what goes from the first to the second takes so long, and up to as much again"},
+	"slow":      {who: 2, rate: true, says: "so many bytes a second get through from the first to the second"},
+	"heal":      {says: "all links are well again"},
+	"stall":     {who: 1, span: true, says: "the process stands still (SIGSTOP) for so long"},
+	"kill":      {who: 1, says: "the process dies (SIGKILL)"},
+	"restart":   {who: 1, span: true, says: "the process dies (SIGKILL) and is started again after so long"},
+	"start":     {who: 1, says: "it is started again, on its directory"},
+}
+
+// Leader stands for whoever leads when the fault comes.
+const Leader = "leader"
+
+func (f Fault) String() string {
+	s := fmt.Sprintf("%8.3fs  %-9s", f.At.Seconds(), f.Kind)
+	if len(f.Who) > 0 {
+		s += " " + strings.Join(f.Who, " ")
+	}
+	if f.For > 0 {
+		s += " " + f.For.String()
+	}
+	if f.Rate > 0 {
+		s += fmt.Sprintf(" %d", f.Rate)
+	}
+	return s
+}
+
+// WriteStory gives the text that ReadStory reads.
+func WriteStory(faults []Fault) []byte {
+	var b bytes.Buffer
+	fmt.Fprintln(&b, "# when, what, whom. \"moorstack prove cluster --help\" lists the faults.")
+	for _, f := range faults {
+		fmt.Fprintln(&b, f)
+	}
+	return b.Bytes()
+}
+
+// ReadStory reads a story for instances of these names. What makes no sense is an error that
+// names its line.
+func ReadStory(path string, raw []byte, names []string) ([]Fault, error) {
+	var list []Fault
+	sc := bufio.NewScanner(bytes.NewReader(raw))
+	for n := 1; sc.Scan(); n++ {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		f, err := readFault(words, names)
+		if err == nil && len(list) > 0 && f.At < list[len(list)-1].At {
+			err = fmt.Errorf("time %v comes after %v in the line before", f.At, list[len(list)-1].At)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, n, err)
+		}
+		f.Line = n
+		list = append(list, f)
+	}
+	return list, sc.Err()
+}
+
+func readFault(words, names []string) (f Fault, err error) {
+	if f.At, err = time.ParseDuration(words[0]); err != nil || f.At < 0 {
+		return f, fmt.Errorf("%q is not a time from the beginning on, as in 1.5s", words[0])
+	}
+	if len(words) < 2 {
+		return f, fmt.Errorf("a fault must follow the time")
+	}
+	f.Kind = words[1]
+	shape, ok := shapes[f.Kind]
+	if !ok {
+		return f, fmt.Errorf("%q is no fault; %s are", f.Kind, strings.Join(kinds(), ", "))
+	}
+	rest := words[2:]
+	want := shape.who
+	if shape.span || shape.rate {
+		want++
+	}
+	if len(rest) != want {
+		return f, fmt.Errorf("%s: %d words follow, %d are wanted: %s", f.Kind, len(rest), want, shape.says)
+	}
+	f.Who = rest[:shape.who]
+	for i, w := range f.Who {
+		if w != Leader && !slices.Contains(names, w) {
+			return f, fmt.Errorf("%s: there is no instance %q; %s to %s are, and %s", f.Kind, w, names[0],
+				names[len(names)-1], Leader)
+		}
+		if slices.Contains(f.Who[:i], w) {
+			return f, fmt.Errorf("%s: %s is named twice", f.Kind, w)
+		}
+	}
+	if shape.span {
+		if f.For, err = time.ParseDuration(rest[shape.who]); err != nil || f.For <= 0 || f.For > time.Hour {
+			return f, fmt.Errorf("%s: %q is not a time above 0 and up to 1h", f.Kind, rest[shape.who])
+		}
+	}
+	if shape.rate {
+		if f.Rate, err = strconv.Atoi(rest[shape.who]); err != nil || f.Rate < 1 {
+			return f, fmt.Errorf("%s: %q is not a number of bytes a second", f.Kind, rest[shape.who])
+		}
+	}
+	return f, nil
+}
+
+func kinds() []string {
+	var list []string
+	for k := range shapes {
+		list = append(list, k)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Faults describes the faults that a story may have, a line each.
+func Faults() string {
+	var b strings.Builder
+	for _, k := range kinds() {
+		s := shapes[k]
+		args := []string{"", " A", " A B"}[s.who]
+		if s.span {
+			args += " TIME"
+		}
+		if s.rate {
+			args += " BYTES"
+		}
+		fmt.Fprintf(&b, "  %-22s %s\n", k+args, s.says)
+	}
+	return b.String()
+}
+
+// Kills is the story of prove config: whoever leads dies, again and again.
+func Kills(seed uint64, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var list []Fault
+	for at := time.Second; at < length; at += time.Duration(1200+rng.IntN(800)) * time.Millisecond {
+		list = append(list, Fault{At: at, Kind: "restart", Who: []string{Leader},
+			For: time.Duration(100+rng.IntN(900)) * time.Millisecond})
+	}
+	return list
+}
+
+// Draw makes a story of a seed: faults over a time, each ended some time after.
+func Draw(seed uint64, names []string, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var list []Fault
+	add := func(at time.Duration, kind string, span time.Duration, who ...string) {
+		f := Fault{At: at.Round(time.Millisecond), Kind: kind, Who: who, For: span.Round(time.Millisecond)}
+		if kind == "slow" {
+			f.Rate = 200 << rng.IntN(8)
+		}
+		list = append(list, f)
+	}
+	one := func() string {
+		if rng.IntN(4) == 0 {
+			return Leader
+		}
+		return names[rng.IntN(len(names))]
+	}
+	two := func() (string, string) {
+		a := rng.IntN(len(names))
+		return names[a], names[(a+1+rng.IntN(len(names)-1))%len(names)]
+	}
+	for at := 300 * time.Millisecond; at < length; at += time.Duration(150+rng.IntN(1200)) * time.Millisecond {
+		a, b := two()
+		switch k := rng.IntN(16); k {
+		case 0, 1, 2, 3:
+			// From 5 ms to some leases.
+			add(at, "stall", time.Duration(5*(1<<rng.IntN(10)))*time.Millisecond, one())
+		case 4, 5:
+			who := names[rng.IntN(len(names))]
+			add(at, "kill", 0, who)
+			add(at+time.Duration(50+rng.IntN(3000))*time.Millisecond, "start", 0, who)
+		case 6:
+			add(at, "isolate", 0, one())
+		case 7:
+			add(at, "deaf", 0, one())
+		case 8:
+			add(at, "mute", 0, one())
+		case 9:
+			add(at, "cut", 0, a, b)
+		case 10:
+			add(at, "reset", 0, a, b)
+		case 11:
+			add(at, "half-open", 0, a, b)
+		case 12:
+			add(at, "delay", time.Duration(1+rng.IntN(200))*time.Millisecond, a, b)
+		case 13:
+			add(at, "slow", 0, a, b)
+		case 14:
+			add(at, "refuse", 0, a, b)
+		default:
+			add(at, "heal", 0)
+		}
+		if rng.IntN(3) == 0 {
+			add(at+time.Duration(100+rng.IntN(2500))*time.Millisecond, "heal", 0)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Fault) int { return int(a.At - b.At) })
+	return list
+}
--- /dev/null
+++ b/internal/rig/story_test.go
@@ -0,0 +1,76 @@
+package rig
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestStoriesAreReadAndRefused(t *testing.T) {
+	names := Names(3)
+	for seed := range uint64(50) {
+		drawn := Draw(seed, names, 20*time.Second)
+		read, err := ReadStory("s", WriteStory(drawn), names)
+		if err != nil || len(read) != len(drawn) {
+			t.Fatalf("seed %d: %d of %d faults: %v", seed, len(read), len(drawn), err)
+		}
+		for i := range read {
+			if read[i].String() != drawn[i].String() {
+				t.Fatalf("seed %d: %q became %q", seed, drawn[i], read[i])
+			}
+		}
+	}
+	for text, says := range map[string]string{
+		"x stall n1 1s":             `s:1: "x" is not a time`,
+		"1s":                        "a fault must follow",
+		"1s burn n1":                `"burn" is no fault; cut, deaf`,
+		"1s cut n1":                 "1 words follow, 2 are wanted: nothing gets through",
+		"1s stall n9 1s":            `there is no instance "n9"; n1 to n3 are, and leader`,
+		"1s cut n1 n1":              "n1 is named twice",
+		"1s stall n1 -1s":           `"-1s" is not a time above 0`,
+		"1s slow n1 n2 0":           `"0" is not a number of bytes`,
+		"# first\n2s heal\n1s heal": "s:3: time 1s comes after 2s",
+	} {
+		if _, err := ReadStory("s", []byte(text), names); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v, want %q", text, err, says)
+		}
+	}
+}
+
+func TestShrinkFindsTheFewest(t *testing.T) {
+	story := Draw(3, Names(3), time.Minute)
+	need := []Fault{story[4], story[17]}
+	breaks := func(s []Fault) bool {
+		for _, n := range need {
+			if !slices.ContainsFunc(s, func(f Fault) bool { return f.String() == n.String() }) {
+				return false
+			}
+		}
+		return true
+	}
+	if got := Shrink(story, breaks); len(got) != 2 {
+		t.Errorf("%d of %d lines are left, 2 are needed: %v", len(got), len(story), got)
+	}
+}
+
+// The audit finds what it is there for.
+func TestAuditFindsAnAdmissionOutOfOrder(t *testing.T) {
+	at := func(ms int, who, what, rest string) entry {
+		return entry{time.Duration(ms) * time.Millisecond, who, what, rest}
+	}
+	good := []entry{at(1, "a", "admit", "1 x"), at(2, "b", "admit", "1 y"), at(3, "a", "admit", "2 z")}
+	if broken, n := auditPolicies(good); len(broken) > 0 || n != 3 {
+		t.Errorf("%v, %d admissions", broken, n)
+	}
+	broken, _ := auditPolicies(append(good, at(9, "b", "admit", "1 w")))
+	if len(broken) != 1 || !strings.Contains(broken[0], "b admitted under revision 1 6ms after a had under 2") {
+		t.Errorf("%v", broken)
+	}
+	closed := `open=false revision=1 why="a change of policy is taking hold"`
+	got := pauses([]entry{at(1, "a", "permit", closed), at(5, "a", "open", "2"), at(6, "b", "permit", closed),
+		at(7, "b", "start", "b"), at(9, "b", "open", "2")})
+	if !slices.Equal(got, []time.Duration{4 * time.Millisecond}) {
+		t.Errorf("pauses %v", got)
+	}
+}
