End a request whose instance is cut off or removed while its change takes hold

One client had never been answered: its change was pending at an instance that had been removed since, and a request waited for as long as its change was pending there, which is for ever (settled, consensus/request.go). It now waits on only while a leader is known and the instance belongs to the group; then it is not known what became of it, as the same id finds out.

--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -192,9 +192,14 @@
 				i.answer(r, nil, agreement.Outcome{Code: agreement.Accepted, Revision: p.Revision})
 				return true
 			}
-			// It is in the log, and has its bounds in time there.
-			r.until = max(r.until, i.ticks+uint64(i.cfg.PatienceTicks))
-			return false
+			// It is in the log, and has its bounds in time there. Hazard: an instance that is cut off
+			// or was removed does not hear of its end, and would wait for ever.
+			if s.Lead != raft.None && !i.gone() {
+				r.until = max(r.until, i.ticks+uint64(i.cfg.PatienceTicks))
+			}
+			if i.ticks < r.until {
+				return false
+			}
 		}
 		if r.kind == proposing && i.state != nil {
 			// It may have come with a snapshot.
