--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -318,6 +318,9 @@
 		MaxUncommittedEntriesSize: 8 << 20, MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true,
 		StepDownOnRemoval: true, Logger: raftLog{i.cfg.Log},
 	})
+	if err == nil {
+		i.sessions() // the fronts are told why they may not admit yet
+	}
 	return err
 }
 
