Refuse changes by name while an older program is in the group, shown by a test; wrap lines

The refusal by name and the way from format 1 to 2 had no test: one makes a group of format 1 with a member that is not known to read 2, and fails without the guard.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -315,7 +315,8 @@
 					old.Revision,
 				)
 			}
-			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context,
+				c schema.ControlClient) error {
 				newest, err := c.GetConfig(ctx, &schema.GetConfigRequest{})
 				if err != nil {
 					return err
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -259,7 +259,8 @@
 	cmd.Flags().StringSliceVar(&f.expect, "expect", nil,
 		"refuse the change if an expectation in these `files` fails under it")
 	cmd.Flags().BoolVar(&f.noWait, "no-wait", false, "return as soon as the change begins to take hold")
-	cmd.Flags().DurationVar(&f.wait, "wait", time.Minute, "how long to wait until it is in force or withdrawn")
+	cmd.Flags().DurationVar(&f.wait, "wait", time.Minute,
+		"how long to wait until it is in force or withdrawn")
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "say what would come of it, and change nothing")
 }
 
@@ -296,7 +297,8 @@
 					"it must name the revision that the file was made from, as get prints it",
 				)
 			}
-			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context,
+				c schema.ControlClient) error {
 				return propose(ctx, cmd, g, c, &f, base, &doc.Document, func(problem string) string {
 					return located(args[0], raw, problem)
 				})
@@ -340,8 +342,9 @@
 			NoWait: f.noWait},
 	)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return exitError{exitUnknown, fmt.Errorf("not decided within %v; \"config pending\" tells how it stands, "+
-			"and the same again is safe: --id %s", f.patience(), id)}
+		return exitError{exitUnknown,
+			fmt.Errorf("not decided within %v; \"config pending\" tells how it stands, "+
+				"and the same again is safe: --id %s", f.patience(), id)}
 	}
 	if err != nil {
 		return err
@@ -392,7 +395,8 @@
 			t.add("  " + l)
 		}
 	case schema.ProposeReply_BEGUN:
-		t.add(fmt.Sprintf("it takes hold as revision %d; \"config pending\" tells how it stands", reply.Revision))
+		t.add(fmt.Sprintf("it takes hold as revision %d; \"config pending\" tells how it stands",
+			reply.Revision))
 	case schema.ProposeReply_WITHDRAWN:
 		code = exitInvalid
 		t.add(fmt.Sprintf("withdrawn; revision %d is in force as before:", reply.Revision))
@@ -471,7 +475,8 @@
 			if err != nil {
 				return err
 			}
-			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context,
+				c schema.ControlClient) error {
 				doc, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
@@ -545,7 +550,8 @@
 			if f.note == "" {
 				f.note = fmt.Sprintf("back to revision %d", n)
 			}
-			return r.within(cmd.Context(), f.patience(), func(ctx context.Context, c schema.ControlClient) error {
+			return r.within(cmd.Context(), f.patience(), func(ctx context.Context,
+				c schema.ControlClient) error {
 				newest, err := configAt(ctx, c, 0)
 				if err != nil {
 					return err
--- a/cmd/moorstack/page_test.go
+++ b/cmd/moorstack/page_test.go
@@ -53,7 +53,8 @@
 	// The page starts its instances in the background and goes on; here they are ended too.
 	script = strings.ReplaceAll(script, ".log &", ".log & echo $! >> pids")
 	script = strings.Replace(script, "moorstack cluster init",
-		"for s in 1 2 3; do while [ ! -S data/n$s/control.sock ]; do sleep 0.05; done; done\nmoorstack cluster init", 1)
+		"for s in 1 2 3; do while [ ! -S data/n$s/control.sock ]; do sleep 0.05; done; "+
+			"done\nmoorstack cluster init", 1)
 	t.Cleanup(func() {
 		raw, _ := os.ReadFile(filepath.Join(dir, "demo", "pids"))
 		for _, pid := range strings.Fields(string(raw)) {
@@ -72,7 +73,8 @@
 		}
 		return string(out)
 	}
-	if out := run("three instances from nothing", script); strings.Count(out, ", voter") != 1+3 { // at init and at the end
+	// at init and at the end
+	if out := run("three instances from nothing", script); strings.Count(out, ", voter") != 1+3 {
 		t.Fatalf("the page's commands make no group of three: %s", out)
 	}
 	change := strings.ReplaceAll(block(t, page, "config propose config.toml --dry-run"),
@@ -112,7 +114,8 @@
 	}
 	// A second address of the platform file, which instances share, is not opened.
 	check(t, os.WriteFile(filepath.Join(g.dir, "x.toml"),
-		[]byte(strings.Replace(string(text), "[front]\n", "[front]\nadmin = \""+field("front", "listen")+"\"\n", 1)),
+		[]byte(strings.Replace(string(text), "[front]\n", "[front]\nadmin = \""+field("front",
+			"listen")+"\"\n", 1)),
 		0o600))
 	g.expect(exitFailed, "x.toml:4: front.admin", "serve", "--config", "x.toml")
 	g.start("n1") // and its directory and addresses are free
--- a/cmd/moorstack/prove.go
+++ b/cmd/moorstack/prove.go
@@ -62,8 +62,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if f.processes {
 				return proveCluster(cmd, g, &clusterFlags{processes: 3, length: 10 * time.Minute, kills: true,
-					tick: 50 * time.Millisecond, seed: max(f.first, uint64(max(f.seed, 0))), changes: f.changes,
-					keep: f.keep, rate: 20})
+					tick: 50 * time.Millisecond, seed: max(f.first, uint64(max(f.seed, 0))),
+					changes: f.changes,
+					keep:    f.keep, rate: 20})
 			}
 			return proveStories(cmd, g, &f)
 		},
--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -64,7 +64,8 @@
 	fl.Float64Var(&f.rate, "rate", 20, "jobs a second at each instance; 0: none")
 	fl.IntVar(&f.changes, "changes", 0, "at most so many changes; 0: as many as there is time for")
 	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
-	fl.BoolVar(&f.shrink, "shrink", false, "play a story that breaks something again, with fewer faults each time")
+	fl.BoolVar(&f.shrink, "shrink", false,
+		"play a story that breaks something again, with fewer faults each time")
 	fl.BoolVar(&f.trace, "trace", false, "print each fault and change")
 	fl.StringVar(&f.keep, "keep", "", "keep files, logs and journals in this `directory`")
 	addOutput(cmd, g)
@@ -166,14 +167,16 @@
 	if err != nil {
 		return nil, err
 	}
-	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self, Dir: at,
+	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self,
+		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
 		Seed: f.seed}}
 	if f.trace {
 		o.Trace = cmd.ErrOrStderr()
 	} else if terminal(os.Stderr) {
 		o.Progress = func(at time.Duration, r *rig.Result) {
-			fmt.Fprintf(os.Stderr, "\r%3.0f of %.0f s: %d faults, %d changes in force, %d withdrawn ", at.Seconds(),
+			fmt.Fprintf(os.Stderr, "\r%3.0f of %.0f s: %d faults, %d changes in force, %d withdrawn ",
+				at.Seconds(),
 				f.length.Seconds(), r.Faults, r.InForce, r.Withdrawn)
 		}
 		defer fmt.Fprint(os.Stderr, "\r\033[K")
@@ -194,10 +197,12 @@
 	t.add("")
 	t.add(fmt.Sprintf("%d instances, %.1f s, %d faults; %d changes in force, %d withdrawn, %d calls repeated",
 		r.Instances, r.Seconds, r.Faults, r.InForce, r.Withdrawn, r.Repeats))
-	t.add(fmt.Sprintf("%d jobs sent: %d served, %d refused by sessions, %d refused, %d failed, %d without an answer",
+	t.add(fmt.Sprintf(
+		"%d jobs sent: %d served, %d refused by sessions, %d refused, %d failed, %d without an answer",
 		r.Jobs.Sent, r.Jobs.Served, r.Jobs.Policy, r.Jobs.Refused, r.Jobs.Failed, r.Jobs.Lost))
 	t.add(fmt.Sprintf("%.0f messages a second between all instances at rest", r.Messages))
-	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs", r.Back.Round(time.Millisecond)))
+	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs",
+		r.Back.Round(time.Millisecond)))
 	t.add(fmt.Sprintf("%d admissions audited, %d violations", r.Admitted, len(r.Violations)))
 	for _, v := range r.Violations {
 		t.add("  " + v)
--- a/cmd/moorstack/rollout.go
+++ b/cmd/moorstack/rollout.go
@@ -80,7 +80,8 @@
 	if err != nil {
 		return err
 	}
-	return g.print(cmd.OutOrStdout(), map[string]string{"done": done.Text}, table{rows: [][]string{{done.Text}}})
+	return g.print(cmd.OutOrStdout(), map[string]string{"done": done.Text},
+		table{rows: [][]string{{done.Text}}})
 }
 
 func newClusterSetAside(g *global, r *remote) *cobra.Command {
--- a/cmd/moorstack/rollout_test.go
+++ b/cmd/moorstack/rollout_test.go
@@ -68,24 +68,30 @@
 	time.Sleep(300 * time.Millisecond)
 	g.edit("c.toml", lead, "worth = 5.0", "worth = 6.0")
 	began := time.Now()
-	g.expect(0, "it takes hold as revision 3", "config", "propose", "c.toml", "--no-wait", "--id", "x", "--config", lead+".toml")
-	if out := g.must("config", "pending", "--config", lead+".toml"); !strings.Contains(out, "waits for  "+still) {
+	g.expect(0, "it takes hold as revision 3", "config", "propose", "c.toml", "--no-wait", "--id", "x",
+		"--config", lead+".toml")
+	if out := g.must("config", "pending", "--config", lead+".toml"); !strings.Contains(out,
+		"waits for  "+still) {
 		t.Errorf("who is waited for is not said: %s", out)
 	}
 	// Another change at once is a conflict that says why, and changes nothing.
 	g.edit("d.toml", lead, "worth = 5.0", "worth = 7.0")
-	g.expect(exitConflict, "is taking hold as revision 3", "config", "propose", "d.toml", "--config", lead+".toml")
+	g.expect(exitConflict, "is taking hold as revision 3", "config", "propose", "d.toml", "--config",
+		lead+".toml")
 	// The same again meets it, and returns when it is in force.
-	g.expect(0, "in force as revision 3", "config", "propose", "c.toml", "--id", "x", "--config", lead+".toml")
+	g.expect(0, "in force as revision 3", "config", "propose", "c.toml", "--id", "x", "--config",
+		lead+".toml")
 	if took := time.Since(began); took < 1500*time.Millisecond {
 		t.Errorf("in force after %v, while the lease of %s lasted", took, still)
 	}
 	check(t, g.proc[still].Process.Signal(syscall.SIGCONT))
 	g.admits(still)
-	if out := g.must("cluster", "status", "--config", still+".toml"); !strings.Contains(out, "running   revision 3") {
+	if out := g.must("cluster", "status", "--config", still+".toml"); !strings.Contains(out,
+		"running   revision 3") {
 		t.Errorf("woken: %s", out)
 	}
-	if out := g.must("config", "history", "--config", still+".toml"); !regexp.MustCompile(`(?m)^3 .*\d\.\d+s`).MatchString(out) {
+	if out := g.must("config", "history", "--config",
+		still+".toml"); !regexp.MustCompile(`(?m)^3 .*\d\.\d+s`).MatchString(out) {
 		t.Errorf("the history does not say how long it took: %s", out)
 	}
 }
@@ -105,7 +111,8 @@
 	})
 	g.kill("n1", syscall.SIGKILL)
 	g.start("n2")
-	g.expect(exitNoLeader, "no jobs: this instance has not heard from its group", "cluster", "status", "--config", "n2.toml")
+	g.expect(exitNoLeader, "no jobs: this instance has not heard from its group", "cluster", "status",
+		"--config", "n2.toml")
 	began := time.Now()
 	code, head := g.job("n2")
 	if code != 503 || head.Get("Retry-After") == "" || !strings.Contains(head.Get("X-Refusal"), "not heard") {
@@ -139,17 +146,21 @@
 	g.edit("c.toml", "n1")
 	text, err = os.ReadFile(filepath.Join(g.dir, "c.toml"))
 	check(t, err)
-	check(t, os.WriteFile(filepath.Join(g.dir, "c.toml"), append(text, "[section.rollout]\nlease = \"120ms\"\n"...), 0o600))
+	check(t, os.WriteFile(filepath.Join(g.dir, "c.toml"), append(text,
+		"[section.rollout]\nlease = \"120ms\"\n"...), 0o600))
 	out, code := g.run("config", "propose", "c.toml", "--config", "n2.toml")
 	if code != exitInvalid || !strings.Contains(out, "revision 1 is in force as before") ||
-		!strings.Contains(out, "n3 refuses it") || !strings.Contains(out, "n3.toml:8: peers.tick: a lease of 120ms") {
+		!strings.Contains(out, "n3 refuses it") || !strings.Contains(out,
+		"n3.toml:8: peers.tick: a lease of 120ms") {
 		t.Errorf("exit %d: %s", code, out)
 	}
 	for _, name := range []string{"n1", "n2", "n3"} {
 		g.expect(0, "running   revision 1", "cluster", "status", "--config", name+".toml")
 	}
-	check(t, os.WriteFile(filepath.Join(g.dir, "c.toml"), append(text, "[section.rollout]\nlese = \"1s\"\n"...), 0o600))
-	g.expect(exitInvalid, `"lese" is no key of this section`, "config", "propose", "c.toml", "--config", "n2.toml")
+	check(t, os.WriteFile(filepath.Join(g.dir, "c.toml"), append(text,
+		"[section.rollout]\nlese = \"1s\"\n"...), 0o600))
+	g.expect(exitInvalid, `"lese" is no key of this section`, "config", "propose", "c.toml", "--config",
+		"n2.toml")
 }
 
 // Where who is cut off serves on, a change needs everybody's yes, or an operator's word.
@@ -165,7 +176,8 @@
 	if code != exitInvalid || !strings.Contains(out, "no word within 1.5s of n3") {
 		t.Errorf("without n3: exit %d: %s", code, out)
 	}
-	g.expect(exitFailed, `no instance "n9" has a session`, "cluster", "set-aside", "n9", "--config", "n1.toml")
+	g.expect(exitFailed, `no instance "n9" has a session`, "cluster", "set-aside", "n9", "--config",
+		"n1.toml")
 	g.expect(0, "n3 is set aside", "cluster", "set-aside", "n3", "--config", "n1.toml")
 	g.expect(0, "in force as revision 3", "config", "propose", "c.toml", "--config", "n1.toml")
 	// It comes back through the group, under the new policy.
@@ -197,7 +209,8 @@
 	defer func() { check(t, g.proc[still].Process.Signal(syscall.SIGCONT)) }()
 	g.edit("c.toml", lead, "worth = 5.0", "worth = 6.0")
 	g.must("config", "propose", "c.toml", "--no-wait", "--id", "x", "--config", lead+".toml")
-	g.expect(0, "change x is withdrawn", "config", "withdraw", "x", "--reason", "the wrong file", "--config", lead+".toml")
+	g.expect(0, "change x is withdrawn", "config", "withdraw", "x", "--reason", "the wrong file", "--config",
+		lead+".toml")
 	g.expect(exitInvalid, "withdrawn by socket: the wrong file", "config", "propose", "c.toml", "--id", "x",
 		"--config", lead+".toml")
 	g.expect(0, "no change is pending", "config", "pending", "--config", lead+".toml")
@@ -209,10 +222,12 @@
 	t.Parallel()
 	g := newGroup(t)
 	for name, story := range map[string]string{
-		"stalls": "500ms stall n2 900ms\n2s stall leader 1500ms\n4s stall n1 5ms\n4s stall n3 300ms\n5s stall leader 40ms",
+		"stalls": "500ms stall n2 900ms\n2s stall leader 1500ms\n4s stall n1 5ms\n" +
+			"4s stall n3 300ms\n5s stall leader 40ms",
 		"cuts": "500ms deaf leader\n2s heal\n2500ms mute leader\n4s heal\n4500ms isolate n2\n5500ms heal\n" +
 			"5600ms cut n1 n3\n5700ms half-open n1 n2\n5800ms reset n2 n3",
-		"crashes": "500ms restart leader 400ms\n2s kill n2\n2s kill n3\n3s start n3\n4s start n2\n4500ms restart leader 50ms",
+		"crashes": "500ms restart leader 400ms\n2s kill n2\n2s kill n3\n3s start n3\n" +
+			"4s start n2\n4500ms restart leader 50ms",
 		// These two find a lease that counts from its answer, and a front that is open too early.
 		"late":  "1s delay leader n2 1500ms\n3500ms cut n2 leader\n7500ms heal",
 		"alone": "1s kill n2\n1100ms isolate n2\n3s start n2\n6s heal",
@@ -221,7 +236,8 @@
 			t.Parallel()
 			mine := &group{t: t, dir: t.TempDir()}
 			check(t, os.WriteFile(filepath.Join(mine.dir, "story.txt"), []byte(story), 0o600))
-			mine.expect(0, ", 0 violations", "prove", "cluster", "--story", "story.txt", "--for", "8s", "--rate", "50")
+			mine.expect(0, ", 0 violations", "prove", "cluster", "--story", "story.txt", "--for", "8s",
+				"--rate", "50")
 		})
 	}
 	check(t, os.WriteFile(filepath.Join(g.dir, "bad.txt"), []byte("1s heal\n2s burn n1"), 0o600))
--- a/cmd/moorstack/root.go
+++ b/cmd/moorstack/root.go
@@ -93,7 +93,8 @@
 		if near := cmd.SuggestionsFor(args[0]); len(near) > 0 {
 			hint = fmt.Sprintf("did you mean %q?", near[0])
 		}
-		return exitError{exitUsage, fmt.Errorf("unknown command %q for %q; %s", args[0], cmd.CommandPath(), hint)}
+		return exitError{exitUsage, fmt.Errorf("unknown command %q for %q; %s", args[0], cmd.CommandPath(),
+			hint)}
 	}
 }
 
--- a/cmd/moorstack/routes_test.go
+++ b/cmd/moorstack/routes_test.go
@@ -71,7 +71,8 @@
 	}
 	g.must("cluster", "init", "--config", "n1.toml")
 	eventually(t, "jobs are admitted", func() bool {
-		return strings.Contains(g.must("cluster", "status", "--config", "n1.toml"), "admits    jobs, under revision 1")
+		return strings.Contains(g.must("cluster", "status", "--config", "n1.toml"),
+			"admits    jobs, under revision 1")
 	})
 
 	// Refused by a rule, over both fronts, with the reason and when to return.
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -46,7 +46,8 @@
 )
 
 func (c Code) String() string {
-	return [...]string{"accepted", "conflict", "invalid", "too large", "unchanged", "withdrawn"}[min(int(c), 5)]
+	return [...]string{"accepted", "conflict", "invalid", "too large", "unchanged", "withdrawn"}[min(int(c),
+		5)]
 }
 
 // Outcome is what became of a change, at every instance the same.
@@ -174,8 +175,9 @@
 	case len(c.Author) > maxName || len(c.Note) > 1024:
 		return refuse(TooLarge, fmt.Sprintf("an author may have %d bytes, a note 1024", maxName))
 	case s.pending != nil && c.ID != s.pending.ID:
-		return refuse(Conflict, fmt.Sprintf("change %s of %q is taking hold as revision %d; wait for it, or withdraw it",
-			s.pending.ID, s.pending.Author, s.pending.Revision))
+		return refuse(Conflict,
+			fmt.Sprintf("change %s of %q is taking hold as revision %d; wait for it, or withdraw it",
+				s.pending.ID, s.pending.Author, s.pending.Revision))
 	case c.Base != newest.Revision:
 		return refuse(
 			Conflict,
@@ -213,7 +215,8 @@
 			Document: c.Document}
 		if s.format > 1 {
 			s.pending = &r
-			s.rollout.Pending = &rollout.Pending{Change: c.ID, Revision: r.Revision, Phase: rollout.Staging, Attempt: 1}
+			s.rollout.Pending = &rollout.Pending{Change: c.ID, Revision: r.Revision, Phase: rollout.Staging,
+				Attempt: 1}
 			return Outcome{}, false
 		}
 		s.push(r)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -206,3 +208,41 @@
 		open(t, a.fs) // and what it wrote can be read
 	})
 }
+
+// A group that an older program has made takes no change while one of its members is not known
+// to know staging, by its name; then it goes to the new format by itself.
+func TestOlderProgramInTheGroup(t *testing.T) {
+	a := lead(t)
+	a.state.ApplyMembers([]agreement.Member{{ID: 88, Name: "old", Address: "127.0.0.1:8"}}, nil)
+	image := strings.Replace(string(a.state.Encode()), `"format":2`, `"format":1`, 1)
+	image = regexp.MustCompile(`,"sessions":\[.*?\],"epoch":\d+`).ReplaceAllString(image, "")
+	old, err := agreement.Restore(agreement.Rules{}, []byte(image))
+	if err != nil || old.Format() != 1 {
+		t.Fatalf("%v: %s", err, image)
+	}
+	a.state = old
+	tick := func() {
+		for range 12 {
+			a.Tick()
+			a.drive(t)
+		}
+	}
+	tick()
+	got := a.propose(t, "x", 1, 5)
+	if got.Err == nil || !strings.Contains(got.Err.Error(), "old: not known to run a program") {
+		t.Fatalf("with an older program: %+v", got)
+	}
+	if a.State().Format() != 1 || a.State().Newest().Revision != 1 {
+		t.Fatal("the group has changed all the same")
+	}
+	a.Reads(88, agreement.Format)
+	tick()
+	if a.State().Format() != 2 {
+		t.Fatal("the group does not go to the new format")
+	}
+	for _, x := range a.State().Rollout().List() {
+		if !x.Open || !x.Loose {
+			t.Errorf("one that served before has %+v", x)
+		}
+	}
+}
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -85,8 +85,9 @@
 	newest := i.state.Newest().Revision
 	if who := i.unable(); i.state.Format() < 2 && len(who) > 0 {
 		// One that knows no staging would run the change as soon as it is agreed on.
-		i.answer(r, refuse("%s: not known to run a program that can make itself ready for a change before it "+
-			"takes hold; renew or remove it first", strings.Join(who, ", ")), agreement.Outcome{})
+		i.answer(r,
+			refuse("%s: not known to run a program that can make itself ready for a change before it "+
+				"takes hold; renew or remove it first", strings.Join(who, ", ")), agreement.Outcome{})
 		return ticket
 	} else if i.state.Format() < 2 {
 		i.answer(r, refuse("the group is about to have changes take hold everywhere at once; try again"),
@@ -97,7 +98,8 @@
 		// Hazard: another change that is pending here may have been withdrawn since, and this one,
 		// which comes again, be in the log already. Only the log can tell.
 		pending := c.Base == newest && c.Document != nil
-		if o := i.state.Check(c); known || o.Code != agreement.Accepted && !(pending && o.Code == agreement.Conflict) {
+		if o := i.state.Check(c); known || o.Code != agreement.Accepted && !(pending &&
+			o.Code == agreement.Conflict) {
 			i.answer(r, nil, o)
 			return ticket
 		}
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -78,14 +78,17 @@
 		if r.Nonce == 0 {
 			return fmt.Errorf("a report of no life of an instance")
 		}
-		i.reported(rollout.Report{Member: from, Nonce: r.Nonce, Epoch: r.Epoch, Asked: time.Duration(r.AskedNs),
-			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt), Running: r.Running})
+		i.reported(rollout.Report{Member: from, Nonce: r.Nonce, Epoch: r.Epoch,
+			Asked:  time.Duration(r.AskedNs),
+			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt),
+			Running: r.Running})
 	}
 	if g := m.Grant; g != nil {
 		if g.AskedNs > int64(i.ses.now) {
 			return fmt.Errorf("a lease that was asked for in the time to come")
 		}
-		i.ses.holder.Granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs), For: time.Duration(g.ForNs)})
+		i.ses.holder.Granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
+			For: time.Duration(g.ForNs)})
 	}
 	i.sessions()
 	return nil
@@ -289,7 +292,8 @@
 
 func (i *Instance) applyCommand(m *schema.Command) {
 	c := rollout.Command{Kind: rollout.Kind(m.Kind), ID: m.Id, Term: m.Term, Change: m.Change,
-		Attempt: int(m.Attempt), Member: m.Member, Name: m.Name, Nonce: m.Nonce, Reason: m.Reason, AtMS: m.AtMs}
+		Attempt: int(m.Attempt), Member: m.Member, Name: m.Name, Nonce: m.Nonce, Reason: m.Reason,
+		AtMS: m.AtMs}
 	for _, s := range m.Seats {
 		c.Seats = append(c.Seats, rollout.Seat{Member: s.Member, Epoch: s.Epoch})
 	}
@@ -316,8 +320,9 @@
 }
 
 func encodeCommand(c rollout.Command) []byte {
-	m := &schema.Command{Kind: uint32(c.Kind), Id: c.ID, Term: c.Term, Change: c.Change, Attempt: int64(c.Attempt),
-		Member: c.Member, Name: c.Name, Nonce: c.Nonce, Reason: c.Reason, AtMs: c.AtMS}
+	m := &schema.Command{Kind: uint32(c.Kind), Id: c.ID, Term: c.Term, Change: c.Change,
+		Attempt: int64(c.Attempt),
+		Member:  c.Member, Name: c.Name, Nonce: c.Nonce, Reason: c.Reason, AtMs: c.AtMS}
 	for _, s := range c.Seats {
 		m.Seats = append(m.Seats, &schema.Seat{Member: s.Member, Epoch: s.Epoch})
 	}
@@ -368,7 +373,8 @@
 		return out
 	}
 	x := &i.ses
-	out = Rollout{Format: i.state.Format(), Policy: i.policy(), Permit: x.permit, Left: x.holder.Left(x.now, i.policy()),
+	out = Rollout{Format: i.state.Format(), Policy: i.policy(), Permit: x.permit, Left: x.holder.Left(x.now,
+		i.policy()),
 		Epoch: x.holder.Epoch(), Staged: x.holder.Ready(), Sessions: i.state.Rollout().List()}
 	if r, ok := i.state.Pending(); ok {
 		out.Pending, out.Phase = &r, *i.state.Rollout().Pending
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -29,7 +29,8 @@
 	if x.Pending == nil {
 		return out
 	}
-	out.Id, out.Revision, out.Author, out.Note = x.Pending.ID, x.Pending.Revision, x.Pending.Author, x.Pending.Note
+	out.Id, out.Revision, out.Author, out.Note = x.Pending.ID, x.Pending.Revision, x.Pending.Author,
+		x.Pending.Note
 	out.AtMs, out.Phase, out.Attempt = x.Pending.AtMS, x.Phase.Phase.String(), uint32(x.Phase.Attempt)
 	for _, name := range slices.Sorted(maps.Keys(x.Awaited)) {
 		out.Awaited = append(out.Awaited, &schema.Awaited{Name: name, LeaseS: x.Awaited[name].Seconds()})
@@ -49,7 +50,8 @@
 		out.Admits, out.AdmitsNot = false, "its lease has run out"
 	case out.Running != x.Permit.Revision:
 		out.Admits = false
-		out.AdmitsNot = fmt.Sprintf("revision %d is in force, and %d runs here", x.Permit.Revision, out.Running)
+		out.AdmitsNot = fmt.Sprintf("revision %d is in force, and %d runs here", x.Permit.Revision,
+			out.Running)
 	}
 	sessions := map[uint64]rollout.Session{}
 	for _, one := range x.Sessions {
@@ -99,7 +101,8 @@
 			return nil, err
 		}
 		return &schema.Operated{Text: fmt.Sprintf(
-			"%s is set aside: changes do not wait for it, and it must hear from the group before it serves", in.Name)}, nil
+			"%s is set aside: changes do not wait for it, and it must hear from the group before it serves",
+			in.Name)}, nil
 	}
 	return nil, status.Errorf(codes.FailedPrecondition, "no instance %q has a session", in.Name)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -347,7 +347,8 @@
 			_ = r.View(ctx, func(st *agreement.State) { compare(out, st, c) })
 		}
 	case errors.As(err, &refused):
-		out.Code, out.Revision, out.Problems = schema.ProposeReply_INVALID, r.Status().Revision, []string{err.Error()}
+		out.Code, out.Revision, out.Problems = schema.ProposeReply_INVALID, r.Status().Revision,
+			[]string{err.Error()}
 	case errors.Is(err, consensus.ErrUnknown) || errors.Is(err, context.DeadlineExceeded):
 		out.Code, out.Problems = schema.ProposeReply_UNKNOWN, []string{consensus.ErrUnknown.Error()}
 	default:
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -121,7 +121,8 @@
 	if _, err := i.ownRoutes(); err != nil {
 		return err
 	}
-	i.network = peers.New(k, cfg.Name, cfg.Peers.Advertise, cfg.Peers.From, i.program, log.WithField("part", "peers"))
+	i.network = peers.New(k, cfg.Name, cfg.Peers.Advertise, cfg.Peers.From, i.program, log.WithField("part",
+		"peers"))
 	i.started("the peers' network", func() error { i.network.Close(); return nil })
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
@@ -134,7 +135,8 @@
 	i.started("the agreement", i.runner.Stop)
 	i.network.Attach(i.runner)
 	if cfg.Audit != "" {
-		if i.gate.journal, err = os.OpenFile(cfg.Audit, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		if i.gate.journal, err = os.OpenFile(cfg.Audit, os.O_CREATE|os.O_APPEND|os.O_WRONLY,
+			0o600); err != nil {
 			return tomlfile.At(cfg.path, cfg.raw, "audit", "%v", err)
 		}
 		i.started("the audit's journal", i.gate.journal.Close)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -133,7 +133,8 @@
 	// Hazard: instances of one machine share a platform file, and can't share an address.
 	p.Admin = c.Front.Admin
 	if p.Admin != "" && p.Admin == p.Listen {
-		return nil, nil, tomlfile.At(c.path, c.raw, "front.admin", "%q is the clients' address, not one of its own",
+		return nil, nil, tomlfile.At(c.path, c.raw, "front.admin",
+			"%q is the clients' address, not one of its own",
 			p.Admin)
 	}
 	if c.Front.Discovery != "" {
--- a/internal/prove/front.go
+++ b/internal/prove/front.go
@@ -106,7 +106,8 @@
 	}
 	w.res.Admitted++
 	if m.front.running < w.newest {
-		w.violate("%s admits under revision %d after %s has under %d", m.name, m.front.running, w.newestAt, w.newest)
+		w.violate("%s admits under revision %d after %s has under %d", m.name, m.front.running, w.newestAt,
+			w.newest)
 	}
 	if m.front.running > w.newest {
 		w.newest, w.newestAt = m.front.running, m.name
--- a/internal/prove/story.go
+++ b/internal/prove/story.go
@@ -180,7 +180,8 @@
 				if w.calm && lead.inst.State().Removed(x.Member) {
 					w.retire(x.Member)
 				}
-				if x.Open && !slices.ContainsFunc(w.machines, func(m *machine) bool { return m.number == x.Member }) {
+				if x.Open && !slices.ContainsFunc(w.machines,
+					func(m *machine) bool { return m.number == x.Member }) {
 					w.made++
 					lead.live().Command(rollout.Command{Kind: rollout.SetAside, Member: x.Member,
 						ID: fmt.Sprintf("aside-%d", w.made)})
@@ -439,7 +440,8 @@
 		}
 	}
 	ok := false
-	c := agreement.Change{ID: "last", Base: lead.inst.State().Newest().Revision, Document: w.document(1 << 20)}
+	c := agreement.Change{ID: "last", Base: lead.inst.State().Newest().Revision,
+		Document: w.document(1 << 20)}
 	t := lead.live().Propose(c, false)
 	lead.answers[t] = func(a consensus.Answer) { ok = a.Err == nil && a.Outcome.Code == agreement.Accepted }
 	lead.drive()
@@ -449,7 +451,8 @@
 	}
 	for _, m := range w.up() {
 		if w.member(m) && !m.front.permit.May(m.local(), m.front.running) {
-			w.violate("%s admits nothing though all is well: %+v, running %d", m.name, m.front.permit, m.front.running)
+			w.violate("%s admits nothing though all is well: %+v, running %d", m.name, m.front.permit,
+				m.front.running)
 		}
 	}
 	// A change that its client gave up came into force some time or never. Where it did, the
--- a/internal/rig/audit.go
+++ b/internal/rig/audit.go
@@ -82,7 +82,8 @@
 	since := map[string]time.Duration{}
 	for _, e := range all {
 		switch {
-		case e.what == "permit" && strings.HasPrefix(e.rest, "open=false") && strings.Contains(e.rest, "taking hold"):
+		case e.what == "permit" && strings.HasPrefix(e.rest, "open=false") && strings.Contains(e.rest,
+			"taking hold"):
 			if _, ok := since[e.who]; !ok {
 				since[e.who] = e.at
 			}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -131,7 +131,8 @@
 }
 
 func (f *Fleet) add(name string, host netip.Addr) error {
-	p := &Process{Name: name, file: filepath.Join(f.o.Dir, name+".toml"), sock: filepath.Join(f.o.Dir, name+".sock")}
+	p := &Process{Name: name, file: filepath.Join(f.o.Dir, name+".toml"), sock: filepath.Join(f.o.Dir,
+		name+".sock")}
 	f.List = append(f.List, p)
 	listen, err := freePort(host.String())
 	if err != nil {
@@ -145,17 +146,19 @@
 	}
 	discovery := ""
 	if f.o.Rate > 0 {
-		if p.stage, err = stage.Start(stage.Options{Node: p.Front, Workers: 2, Zone: "z", Kind: "k", Seed: f.o.Seed,
+		if p.stage, err = stage.Start(stage.Options{Node: p.Front, Workers: 2, Zone: "z", Kind: "k",
+			Seed: f.o.Seed,
 			Spec: emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
 				ColdShare: 1, Refresh: 200 * time.Millisecond}}); err != nil {
 			return err
 		}
 		discovery = fmt.Sprintf("discovery = %q\n", p.stage.Discovery())
 	}
-	text := fmt.Sprintf("name = %q\ndata = %[1]q\naudit = \"%[1]s.audit\"\n[front]\nplatform = \"platform.json\"\n"+
-		"listen = %[2]q\n%[3]s[peers]\nlisten = %[4]q\nadvertise = %[5]q\nfrom = %[6]q\ntick = %[7]q\n"+
-		"[keys]\nca = \"keys/ca.crt\"\ncert = \"keys/%[1]s.crt\"\nkey = \"keys/%[1]s.key\"\n"+
-		"[control]\nsocket = \"%[1]s.sock\"\n",
+	text := fmt.Sprintf(
+		"name = %q\ndata = %[1]q\naudit = \"%[1]s.audit\"\n[front]\nplatform = \"platform.json\"\n"+
+			"listen = %[2]q\n%[3]s[peers]\nlisten = %[4]q\nadvertise = %[5]q\nfrom = %[6]q\ntick = %[7]q\n"+
+			"[keys]\nca = \"keys/ca.crt\"\ncert = \"keys/%[1]s.crt\"\nkey = \"keys/%[1]s.key\"\n"+
+			"[control]\nsocket = \"%[1]s.sock\"\n",
 		name, p.Front, discovery, listen, p.Peers, host, f.o.Tick)
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		return err
@@ -357,10 +360,12 @@
 			"tenants": []any{map[string]any{"name": "muscat", "share": 1}},
 			"blend":   map[string]any{"whole": 1}, "membership_mode": "on_request", "worth_by": "work",
 			"granularity": 5_000_000,
-			"contract": map[string]any{"answer_slack": 20_000_000, "ask_every": 10_000_000_000, "cold": 1_000_000,
+			"contract": map[string]any{"answer_slack": 20_000_000, "ask_every": 10_000_000_000,
+				"cold":       1_000_000,
 				"cold_share": 1, "drain_grace": 1_000_000_000, "fall": 1_000_000_000, "overload_factor": 3},
 			"limits": map[string]any{"try_limit": 5, "cancel": true, "conn_idle": 15_000_000_000,
-				"connect_timeout": 250_000_000, "max_retry_after": 2_000_000_000, "probes": true, "retry_after": true,
+				"connect_timeout": 250_000_000, "max_retry_after": 2_000_000_000, "probes": true,
+				"retry_after":   true,
 				"second_copies": true},
 			"extra":  map[string]any{"report_x0": "free slots"},
 			"report": map[string]any{"how": "pull", "names": []string{"pending", "x0"}}},
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -28,20 +28,22 @@
 
 // Result is what was measured and found.
 type Result struct {
-	Instances  int             `json:"instances"`
-	Seconds    float64         `json:"seconds"`
-	Faults     int             `json:"faults"`
-	InForce    int             `json:"in_force"`
-	Withdrawn  int             `json:"withdrawn"`
-	Repeats    int             `json:"repeats"`      // calls made again under the same id
-	Took       []time.Duration `json:"took_ns"`      // from propose to in force, of those whose first call was answered
-	Pauses     []time.Duration `json:"pauses_ns"`    // in which an instance admitted nothing for a change
-	Back       time.Duration   `json:"back_ns"`      // from the last fault's end until all admitted jobs again
-	Messages   float64         `json:"messages_a_s"` // between all instances, while nothing happened
-	Admitted   int             `json:"admitted"`
-	Jobs       Jobs            `json:"jobs"`
-	Violations []string        `json:"violations,omitempty"`
-	Last       []string        `json:"last,omitempty"` // what the instances did last before what broke
+	Instances int     `json:"instances"`
+	Seconds   float64 `json:"seconds"`
+	Faults    int     `json:"faults"`
+	InForce   int     `json:"in_force"`
+	Withdrawn int     `json:"withdrawn"`
+	Repeats   int     `json:"repeats"` // calls made again under the same id
+	// from propose to in force, of those whose first call was answered
+	Took   []time.Duration `json:"took_ns"`
+	Pauses []time.Duration `json:"pauses_ns"` // in which an instance admitted nothing for a change
+	// from the last fault's end until all admitted jobs again
+	Back       time.Duration `json:"back_ns"`
+	Messages   float64       `json:"messages_a_s"` // between all instances, while nothing happened
+	Admitted   int           `json:"admitted"`
+	Jobs       Jobs          `json:"jobs"`
+	Violations []string      `json:"violations,omitempty"`
+	Last       []string      `json:"last,omitempty"` // what the instances did last before what broke
 }
 
 type play struct {
@@ -317,7 +319,8 @@
 			return nil
 		case schema.ProposeReply_NO_LEADER, schema.ProposeReply_UNKNOWN:
 		default:
-			return fmt.Errorf("%s: %v: %v", id, r.Code, r.Problems) // there is one client: nothing else may have come first
+			// there is one client: nothing else may have come first
+			return fmt.Errorf("%s: %v: %v", id, r.Code, r.Problems)
 		}
 	}
 }
--- a/internal/rig/story.go
+++ b/internal/rig/story.go
@@ -35,13 +35,15 @@
 	"refuse":    {who: 2, says: "the first's new connections to the second are refused"},
 	"reset":     {who: 2, says: "the connections between the two are reset"},
 	"half-open": {who: 2, says: "the connections between the two lead nowhere; new ones do"},
-	"delay":     {who: 2, span: true, says: "what goes from the first to the second takes so long, and up to as much again"},
-	"slow":      {who: 2, rate: true, says: "so many bytes a second get through from the first to the second"},
-	"heal":      {says: "all links are well again"},
-	"stall":     {who: 1, span: true, says: "the process stands still (SIGSTOP) for so long"},
-	"kill":      {who: 1, says: "the process dies (SIGKILL)"},
-	"restart":   {who: 1, span: true, says: "the process dies (SIGKILL) and is started again after so long"},
-	"start":     {who: 1, says: "it is started again, on its directory"},
+	"delay": {who: 2, span: true,
+		says: "what goes from the first to the second takes so long, and up to as much again"},
+	"slow": {who: 2, rate: true,
+		says: "so many bytes a second get through from the first to the second"},
+	"heal":    {says: "all links are well again"},
+	"stall":   {who: 1, span: true, says: "the process stands still (SIGSTOP) for so long"},
+	"kill":    {who: 1, says: "the process dies (SIGKILL)"},
+	"restart": {who: 1, span: true, says: "the process dies (SIGKILL) and is started again after so long"},
+	"start":   {who: 1, says: "it is started again, on its directory"},
 }
 
 // Leader stands for whoever leads when the fault comes.
@@ -196,7 +198,8 @@
 		a := rng.IntN(len(names))
 		return names[a], names[(a+1+rng.IntN(len(names)-1))%len(names)]
 	}
-	for at := 300 * time.Millisecond; at < length; at += time.Duration(150+rng.IntN(1200)) * time.Millisecond {
+	for at := 300 * time.Millisecond; at < length; at += time.Duration(150+rng.IntN(
+		1200)) * time.Millisecond {
 		a, b := two()
 		switch k := rng.IntN(16); k {
 		case 0, 1, 2, 3:
--- a/internal/rig/story_test.go
+++ b/internal/rig/story_test.go
@@ -64,7 +64,8 @@
 		t.Errorf("%v, %d admissions", broken, n)
 	}
 	broken, _ := auditPolicies(append(good, at(9, "b", "admit", "1 w")))
-	if len(broken) != 1 || !strings.Contains(broken[0], "b admitted under revision 1 6ms after a had under 2") {
+	if len(broken) != 1 || !strings.Contains(broken[0],
+		"b admitted under revision 1 6ms after a had under 2") {
 		t.Errorf("%v", broken)
 	}
 	closed := `open=false revision=1 why="a change of policy is taking hold"`
--- a/internal/rollout/explore_test.go
+++ b/internal/rollout/explore_test.go
@@ -85,7 +85,8 @@
 func applyTo(s *State, force *uint64, x entryOf) {
 	if x.change > 0 {
 		if s.Pending == nil {
-			s.Pending = &Pending{Change: fmt.Sprint(x.change), Revision: *force + 1, Phase: Staging, Attempt: 1}
+			s.Pending = &Pending{Change: fmt.Sprint(x.change), Revision: *force + 1, Phase: Staging,
+				Attempt: 1}
 		}
 		return
 	}
@@ -150,7 +151,8 @@
 			continue
 		}
 		if n.decided < e.newest {
-			return fmt.Sprintf("n%d may admit under %d, and somebody might have under %d", i+1, n.decided, e.newest)
+			return fmt.Sprintf("n%d may admit under %d, and somebody might have under %d", i+1, n.decided,
+				e.newest)
 		}
 	}
 	for i := range e.nodes {
@@ -219,7 +221,12 @@
 		}
 	}
 	if e.proposed < b.changes && e.known.Pending == nil {
-		add("propose", func(c *explored) { c.proposed++; c.log = append(c.log, entryOf{change: c.proposed}); c.catchUp() })
+		add("propose", func(c *explored) {
+			c.proposed++
+			c.log = append(c.log,
+				entryOf{change: c.proposed})
+			c.catchUp()
+		})
 	}
 	if e.deposed < b.depositions {
 		add("another leads", func(c *explored) {
@@ -264,7 +271,8 @@
 			Seats: e.known.Seats()}})
 	}
 	if p := e.known.Pending; b.broken == "evidence of nobody" && p != nil && p.Phase == Holding {
-		e.log = append(e.log, entryOf{c: Command{Kind: Decide, Change: p.Change, Attempt: p.Attempt, Seats: e.known.Seats()}})
+		e.log = append(e.log, entryOf{c: Command{Kind: Decide, Change: p.Change, Attempt: p.Attempt,
+			Seats: e.known.Seats()}})
 	}
 	for _, c := range e.leader.Look(e.now, e.known, exploredPolicy, b.names()) {
 		e.log = append(e.log, entryOf{c: c})
@@ -283,7 +291,8 @@
 
 func (e *explored) key() uint64 {
 	var b strings.Builder
-	fmt.Fprint(&b, e.now, e.at, len(e.log), e.proposed, e.newest, e.crashes, e.losses, e.deposed, e.force, e.leader.began,
+	fmt.Fprint(&b, e.now, e.at, len(e.log), e.proposed, e.newest, e.crashes, e.losses, e.deposed, e.force,
+		e.leader.began,
 		e.leader.last, e.leader.pending, e.leader.since)
 	for _, id := range slices.Sorted(maps.Keys(e.leader.seats)) {
 		fmt.Fprint(&b, id, *e.leader.seats[id])
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -149,7 +149,8 @@
 	case !ok:
 		out.Why = "this instance has not heard from its group since it started"
 	case s.Pending != nil && s.Pending.Phase == Holding:
-		out.Why, out.Change, out.Attempt = "a change of policy is taking hold", s.Pending.Change, s.Pending.Attempt
+		out.Why, out.Change, out.Attempt = "a change of policy is taking hold", s.Pending.Change,
+			s.Pending.Attempt
 	default:
 		out.Open, out.Until = true, h.end(p)
 		out.Forever = p.CutOff == Serve || s.Sessions[h.member].Loose && h.old && h.span == 0
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -35,7 +35,8 @@
 
 // NewLeader begins a term.
 func NewLeader(now time.Duration, term uint64) *Leader {
-	return &Leader{term: term, began: now, last: now, seats: map[uint64]*seat{}, asked: map[string]time.Duration{}}
+	return &Leader{term: term, began: now, last: now, seats: map[uint64]*seat{},
+		asked: map[string]time.Duration{}}
 }
 
 // Term is the term that it judges in.
@@ -121,7 +122,8 @@
 		// Hazard: the last word of one that has died since would open its session for ever.
 		if x.fresh && x.report.Epoch == 0 && !opened {
 			x.fresh = false
-			out = append(out, Command{Kind: Open, Term: l.term, Member: id, Name: names[id], Nonce: x.report.Nonce})
+			out = append(out, Command{Kind: Open, Term: l.term, Member: id, Name: names[id],
+				Nonce: x.report.Nonce})
 		}
 	}
 	var lapsed []Seat
@@ -145,7 +147,8 @@
 		l.pending = Pending{}
 		return out
 	}
-	if c, ok := l.judge(now, s, p); ok && l.once(now, p, c.Kind, fmt.Sprint(c.Change, c.Attempt, len(s.Seats()), s.Epoch)) {
+	if c, ok := l.judge(now, s, p); ok && l.once(now, p, c.Kind, fmt.Sprint(c.Change, c.Attempt,
+		len(s.Seats()), s.Epoch)) {
 		out = append(out, c)
 	}
 	return out
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -100,7 +100,8 @@
 )
 
 func (k Kind) String() string {
-	return [...]string{"none", "open", "lapse", "hold", "decide", "reopen", "withdraw", "set aside"}[min(int(k), 7)]
+	return [...]string{"none", "open", "lapse", "hold", "decide", "reopen", "withdraw",
+		"set aside"}[min(int(k), 7)]
 }
 
 // Judged says whether a command is the leader's judgement. Such a one is void in the log of
@@ -166,7 +167,8 @@
 	switch c.Kind {
 	case Open:
 		s.Epoch++
-		s.Sessions[c.Member] = Session{Member: c.Member, Name: c.Name, Epoch: s.Epoch, Nonce: c.Nonce, Open: true}
+		s.Sessions[c.Member] = Session{Member: c.Member, Name: c.Name, Epoch: s.Epoch, Nonce: c.Nonce,
+			Open: true}
 	case Lapse:
 		for _, seat := range c.Seats {
 			if x := s.Sessions[seat.Member]; x.Open && x.Epoch == seat.Epoch {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-var pol = Policy{CutOff: ByLease, Lease: time.Second, StageWithin: 20 * time.Second, HoldWithin: 300 * time.Millisecond}
+var pol = Policy{CutOff: ByLease, Lease: time.Second, StageWithin: 20 * time.Second,
+	HoldWithin: 300 * time.Millisecond}
 
 // pair is a leader and the instances 1 and 2, with sessions that are open.
 func pair(t *testing.T) (*State, *Leader, *Holder, *Holder) {
@@ -14,7 +15,8 @@
 	s, l := NewState(), NewLeader(0, 1)
 	a, b := NewHolder(1, 11), NewHolder(2, 22)
 	for i, h := range []*Holder{a, b} {
-		if err := s.Apply(Command{Kind: Open, Member: uint64(i + 1), Name: string(rune('a' + i)), Nonce: h.Nonce()}); err != nil {
+		if err := s.Apply(Command{Kind: Open, Member: uint64(i + 1), Name: string(rune('a' + i)),
+			Nonce: h.Nonce()}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -162,7 +164,8 @@
 		t.Fatal(err)
 	}
 	for _, c := range []Command{{Kind: Decide, Change: "x", Attempt: 1, Seats: seats},
-		{Kind: Decide, Change: "y", Attempt: 1, Seats: s.Seats()}, {Kind: Decide, Change: "x", Attempt: 2, Seats: s.Seats()}} {
+		{Kind: Decide, Change: "y", Attempt: 1, Seats: s.Seats()}, {Kind: Decide, Change: "x", Attempt: 2,
+			Seats: s.Seats()}} {
 		if err := s.Apply(c); err == nil {
 			t.Errorf("decided by %+v", c)
 		}
