Have faults come at steps of a change; full disks and torn writes in real processes

A fault drawn by time seldom falls between two steps of a change that takes 8 ms. A line of a story may now wait for one: an instance has heard of a change, is ready, has ceased to admit, has switched; "it" and "asked" name who. The stories of the checks have a death, a stall, a cut and a bad disk at each step, of the leader and of others.

Those showed: status of a stopped agreement told an old lease and exit 0 (now the lease by the clock, and exit 5).

Tried with a program of an older version in the group: a change is refused, but named instances beside it that the asked one had not heard of. It names those that have said they are older, or else that they are not known yet. Adding an older program to a group whose log it can't read was taken and never came to anything; it is refused with its name.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -134,7 +134,7 @@
 		Long: `status says how the called instance stands: which configuration is agreed on and which one
 its fronts run, whether it is cut off and for how long, and who belongs to the group. Only
 the leader knows who is heard of and how far each has come. It answers also while there
-is no leader, and exits with 5 then.`,
+is no leader, and exits with 5 then, or where the agreement has stopped.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
@@ -145,7 +145,7 @@
 				if err := g.print(cmd.OutOrStdout(), s, statusTable(s)); err != nil {
 					return err
 				}
-				if s.CutOff {
+				if s.CutOff || s.Role == "stopped" {
 					return exitError{code: exitNoLeader}
 				}
 				return nil
--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -40,11 +40,16 @@
   1.5s  stall  n2 800ms
   2s    cut    n1 n3
   4s    heal
+  5s    @staged kill leader
 
 The faults:
 
 ` + rig.Faults() + `
-An instance is named n1, n2, ... or "leader", who leads when the fault comes. A story that breaks
+A fault may wait for a step of a change, of anybody or of the one named as in @staged:n2:
+
+` + rig.Steps() + `
+An instance is named n1, n2, ... or "leader", who leads when the fault comes; "it", whose step it
+was; "asked", whom the client has asked for the change. A story that breaks
 something is written to a file, with --shrink with the fewest lines that still do.
 
 It exits with 1 if anything was broken, and leaves no process behind.`,
--- a/cmd/moorstack/rollout_test.go
+++ b/cmd/moorstack/rollout_test.go
@@ -228,6 +228,17 @@
 			"5600ms cut n1 n3\n5700ms half-open n1 n2\n5800ms reset n2 n3",
 		"crashes": "500ms restart leader 400ms\n2s kill n2\n2s kill n3\n3s start n3\n" +
 			"4s start n2\n4500ms restart leader 50ms",
+		// The leader, and who was asked, die, stand still and are cut off at each step of a change.
+		"steps die": "300ms @proposed restart leader 400ms\n1700ms @staged restart leader 300ms\n" +
+			"3s @ceased restart leader 400ms\n4500ms @switched restart leader 300ms\n" +
+			"6s @switched restart asked 300ms",
+		"steps stall": "300ms @proposed stall leader 900ms\n1800ms @staged stall it 900ms\n" +
+			"3300ms @ceased stall leader 900ms\n4800ms @ceased stall it 40ms\n" +
+			"5200ms @switched stall it 900ms\n6700ms @staged:n2 stall n2 300ms",
+		"steps cut": "300ms @proposed deaf leader\n1300ms heal\n1800ms @staged isolate it\n2900ms heal\n" +
+			"3400ms @ceased mute leader\n4500ms heal\n5s @switched isolate it\n6s heal",
+		"disks": "300ms @proposed torn leader 300ms\n1500ms @staged full it 600ms\n" +
+			"3s @ceased full leader 600ms\n4500ms @switched torn it 300ms\n6s @proposed torn asked 200ms",
 		// These two find a lease that counts from its answer, and a front that is open too early.
 		"late":  "1s delay leader n2 1500ms\n3500ms cut n2 leader\n7500ms heal",
 		"alone": "1s kill n2\n1100ms isolate n2\n3s start n2\n6s heal",
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -83,11 +83,17 @@
 	// An instance that lags may know an older revision than the change was made from. That
 	// is no conflict yet; where the change is in the log, all will see it alike.
 	newest := i.state.Newest().Revision
-	if who := i.unable(); i.state.Format() < 2 && len(who) > 0 {
+	if old, silent := i.olderOnes(); i.state.Format() < 2 && len(old)+len(silent) > 0 {
 		// One that knows no staging would run the change as soon as it is agreed on.
-		i.answer(r,
-			refuse("%s: not known to run a program that can make itself ready for a change before it "+
-				"takes hold; renew or remove it first", strings.Join(who, ", ")), agreement.Outcome{})
+		if len(old) > 0 {
+			i.answer(r, refuse("%s: runs an older program, which can't make itself ready for a change "+
+				"before it takes hold; renew or remove it first", strings.Join(old, ", ")),
+				agreement.Outcome{})
+		} else {
+			i.answer(r, refuse("%s: not known yet to run a program that can make itself ready for a change "+
+				"before it takes hold; try again, or at the leader", strings.Join(silent, ", ")),
+				agreement.Outcome{})
+		}
 		return ticket
 	} else if i.state.Format() < 2 {
 		i.answer(r, refuse("the group is about to have changes take hold everywhere at once; try again"),
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -245,13 +245,24 @@
 
 // unable names the members that are not known to read format 2.
 func (i *Instance) unable() []string {
-	var list []string
+	old, silent := i.olderOnes()
+	return append(old, silent...)
+}
+
+// olderOnes names the members that have said that they read an older format, and those that have
+// said nothing here: instances that don't lead seldom hear of each other.
+func (i *Instance) olderOnes() (old, silent []string) {
 	for _, m := range i.state.Members() {
-		if m.ID != i.identity.Id && i.ses.formats[m.ID] < agreement.Format {
-			list = append(list, m.Name)
+		format, heard := i.ses.formats[m.ID]
+		switch {
+		case m.ID == i.identity.Id || format >= agreement.Format:
+		case heard:
+			old = append(old, m.Name)
+		default:
+			silent = append(silent, m.Name)
 		}
 	}
-	return list
+	return old, silent
 }
 
 // tellPermit tells the fronts whether they may admit, when that has changed.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -41,6 +41,10 @@
 // describe fills in what a status says of sessions.
 func describe(out *schema.StatusReply, st consensus.Status) {
 	x := st.Rollout
+	// Hazard: the status may be old, of an agreement that has stopped; the lease goes on ending.
+	if x.Permit.Open && !x.Permit.Forever {
+		x.Left = max(x.Permit.Until-consensus.Boottime(), 0)
+	}
 	out.Format, out.CutOffRule, out.Admits = uint32(x.Format), x.Policy.CutOff, x.Permit.Open
 	out.LeaseS, out.Epoch, out.Staged, out.Pending = x.Left.Seconds(), x.Epoch, x.Staged, pending(st)
 	switch {
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -245,6 +245,7 @@
 
 // stage makes everything ready for a change, so that the switch takes one turn of the loop.
 func (i *Instance) stage(r agreement.Revision) {
+	i.gate.note("staging %s", r.ID)
 	t, err := i.termsOf(r.Document)
 	if err == nil {
 		err = i.bears(r.Document)
@@ -262,6 +263,7 @@
 	i.staged, i.terms = r.ID, t
 	i.mu.Unlock()
 	entry.Info("ready for a change")
+	i.gate.note("staged %s", r.ID)
 	i.runner.Staged(r.ID, nil)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -421,7 +421,8 @@
 // Describe implements schema.PeersServer.
 func (s *server) Describe(context.Context, *schema.DescribeRequest) (*schema.Description, error) {
 	st := s.n.runner.Status()
-	return &schema.Description{Id: st.ID, Name: st.Name, Cluster: st.Cluster, Program: s.n.program}, nil
+	return &schema.Description{Id: st.ID, Name: st.Name, Cluster: st.Cluster, Program: s.n.program,
+		Format: agreement.Format}, nil
 }
 
 // Invite implements schema.PeersServer.
@@ -508,6 +509,12 @@
 			d.Cluster,
 		)
 	}
+	// It would belong to the group and never follow: it can't read the log.
+	if reads := max(int(d.Format), 1); reads < st.Rollout.Format {
+		return 0, status.Errorf(codes.FailedPrecondition,
+			"%s runs an older program (%s) that reads format %d, and the group's log has %d; renew it first",
+			op.Name, d.Program, reads, st.Rollout.Format)
+	}
 	for _, m := range st.Members {
 		if m.Name == op.Name && m.ID != d.Id {
 			return 0, status.Errorf(
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -15,10 +15,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
 	"moorstack/internal/control"
@@ -46,6 +49,7 @@
 	Front       string
 	file, sock  string
 	log         *os.File
+	journal     *journal
 	stage       *stage.Stage
 
 	mu      sync.Mutex
@@ -61,6 +65,9 @@
 	Links *Links
 	List  []*Process
 	o     Options
+
+	mu       sync.Mutex
+	watchers map[chan entry]bool // of the journals
 }
 
 // Names of a fleet's instances.
@@ -77,7 +84,7 @@
 	if o.Voters == 0 {
 		o.Voters = min(o.Instances, 5)
 	}
-	f := &Fleet{o: o, Links: NewLinks()}
+	f := &Fleet{o: o, Links: NewLinks(), watchers: map[chan entry]bool{}}
 	err := f.prepare()
 	for _, p := range f.List {
 		if err == nil {
@@ -163,6 +170,9 @@
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		return err
 	}
+	if p.journal, err = newJournal(filepath.Join(f.o.Dir, name+".audit"), name, f.noted); err != nil {
+		return err
+	}
 	p.log, err = os.Create(filepath.Join(f.o.Dir, name+".log"))
 	return err
 }
@@ -237,10 +247,86 @@
 		if p.log != nil {
 			p.log.Close()
 		}
+		if p.journal != nil {
+			p.journal.close()
+		}
 	}
 	f.Links.Close()
 }
 
+// noted tells who waits for a step of an instance that has written a line.
+func (f *Fleet) noted(e entry) {
+	if e.what == "admit" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.watchers {
+		select {
+		case c <- e:
+		default:
+		}
+	}
+}
+
+// step waits until an instance takes a step of a change, and gives its name.
+func (f *Fleet) step(ctx context.Context, step, of string) (string, bool) {
+	c := make(chan entry, 64)
+	f.mu.Lock()
+	f.watchers[c] = true
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.watchers, c)
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return "", false
+		case e := <-c:
+			if e.what == steps[step].what && (of == "" || e.who == of) &&
+				(step != "ceased" || strings.Contains(e.rest, "taking hold")) {
+				return e.who, true
+			}
+		}
+	}
+}
+
+// Fill has an instance's disk be full: no file grows any more.
+func (f *Fleet) Fill(p *Process) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	none := unix.Rlimit{Cur: 0, Max: unix.RLIM_INFINITY}
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &none, nil)
+}
+
+// Tear leaves a part of a record at the end of a dead instance's log, as a machine does that
+// dies while it writes.
+func (f *Fleet) Tear(p *Process, rng *rand.Rand) error {
+	logs, err := filepath.Glob(filepath.Join(f.o.Dir, p.Name, "agreement", "*.log"))
+	if err != nil || len(logs) == 0 {
+		return err // it has written nothing yet
+	}
+	log, err := os.OpenFile(slices.Max(logs), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	part := make([]byte, 1+rng.IntN(300))
+	for i := range part {
+		part[i] = byte(rng.Uint32())
+	}
+	if rng.IntN(4) == 0 {
+		clear(part) // the file has grown, and what belongs there has not come
+	}
+	_, err = log.Write(part)
+	return err
+}
+
 // Until tries something until it succeeds, for a minute.
 func Until(ctx context.Context, what string, try func(context.Context) error) error {
 	err := errors.New("not tried")
