Add duties to the agreed state: held by sessions, numbered, handed on; begun

Work that one instance does at a time needs a holder that all agree on, that stops before another begins, and effects that a receiver can refuse. Ruled out: the leader does it all (a woken leader calls itself one for a moment, and a duty could never be elsewhere); a lease for each duty (renewals would grow with the duties). Here a duty is held by a session, whose one lease serves for all of an instance's duties: renewals at rest stay what they are. The leader assigns, by label, preference, rest after a failure and spread; preference pulls nothing back.

A lease counts for duties only at an instance whose state is as new as the leader's was when it was granted: one that was cut off and has lost a duty would otherwise act for as long as its log lags behind its lease.

The stories in virtual time act in three duties at every machine, hand them on, pause them and note. They found a flaw of the first form: a note that got no answer is put into the log again, and could stand there after a later one. Notes name the one that they take the place of now.

The group's format is 3; programs that read 2 are told so as before.

--- a/cmd/moorstack/prove.go
+++ b/cmd/moorstack/prove.go
@@ -104,6 +104,9 @@
 	Refused    int            `json:"refused"`
 	Unknown    int            `json:"unknown"`
 	Reads      int            `json:"reads"`
+	Admitted   int            `json:"admitted"` // jobs
+	Acts       int            `json:"acts"`     // of holders of duties
+	Handed     int            `json:"hand_overs"`
 	Faults     map[string]int `json:"faults"`
 	Broken     []prove.Result `json:"broken,omitempty"`
 	WallSecond float64        `json:"wall_s"`
@@ -174,6 +177,9 @@
 	t.Refused += r.Refused
 	t.Unknown += r.Unknown
 	t.Reads += r.Reads
+	t.Admitted += r.Admitted
+	t.Acts += r.Acts
+	t.Handed += r.Handed
 	for name, n := range r.Faults {
 		t.Faults[name] += n
 	}
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -20,8 +20,9 @@
 // instance that meets a newer one stops applying changes rather than reading it in part.
 //
 // Format 1 is a group in which a change is in force when it is agreed on. In one of format 2
-// it takes hold as package rollout says. A group goes from 1 to 2 once all its instances can.
-const Format = 2
+// it takes hold as package rollout says, and one of format 3 has duties. A group goes to a newer
+// one once all its instances can.
+const Format = 3
 
 // Bounds on a document. A change beyond them is refused before it is proposed.
 const (
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 )
 
@@ -93,6 +94,8 @@
 	rollout *rollout.State
 	pending *Revision      // that takes hold, or is withdrawn
 	policy  rollout.Policy // of the newest revision
+	duties  *duty.State
+	specs   []duty.Spec // of the newest revision
 }
 
 // New makes the state of a new group. The first document has revision 1, or one more
@@ -105,6 +108,9 @@
 		members: map[uint64]Member{by.ID: by},
 		format:  Format,
 		rollout: rollout.NewState(),
+		// Hazard: a group made from a backup must not use the numbers of the one that it was made of,
+		// which may have used more since.
+		duties: duty.NewState(after << 32),
 	}
 	if !first.finite() {
 		return nil, fmt.Errorf("the first document has a number that is none")
@@ -125,6 +131,32 @@
 // Rollout is how changes take hold. It must not be changed.
 func (s *State) Rollout() *rollout.State { return s.rollout }
 
+// Duties is who holds what. It must not be changed.
+func (s *State) Duties() *duty.State { return s.duties }
+
+// Specs is which duties the configuration in force has.
+func (s *State) Specs() []duty.Spec { return s.specs }
+
+// Duty applies a command of the duties that is in the log.
+func (s *State) Duty(c duty.Command) Outcome {
+	o := Outcome{Code: Accepted, Revision: s.Newest().Revision}
+	if known, ok := s.ids[c.ID]; ok && c.ID != "" {
+		return known
+	}
+	err := s.duties.Apply(c, func(seat duty.Seat) bool {
+		x := s.rollout.Sessions[seat.Member]
+		return x.Open && x.Epoch == seat.Epoch
+	})
+	if err != nil {
+		o.Code, o.Problems = Invalid, []string{err.Error()}
+	}
+	// A holder's words are many, and harmless when they come again: only operators' are remembered.
+	if c.ID != "" && len(c.ID) <= maxName && c.Kind >= duty.HandOn {
+		s.remember(c.ID, o)
+	}
+	return o
+}
+
 // Policy is how changes take hold now.
 func (s *State) Policy() rollout.Policy { return s.policy }
 
@@ -241,7 +273,11 @@
 		return known, ""
 	}
 	p := s.pending
-	if err := s.rollout.Apply(c); err != nil {
+	err := s.rollout.Apply(c)
+	if err == nil {
+		s.vacate(c)
+	}
+	if err != nil {
 		o.Code, o.Problems = Invalid, []string{err.Error()}
 	} else if s.rollout.Pending == nil && p != nil {
 		s.pending, decided = nil, p.ID
@@ -259,13 +295,32 @@
 	return o, decided
 }
 
+// vacate ends the holdings of sessions that have surely ended: their lease has run out, or the
+// process that they were for is no more. Hazard: one that an operator has set aside may act until
+// its lease ends; its duties wait for that.
+func (s *State) vacate(c rollout.Command) {
+	switch c.Kind {
+	case rollout.Lapse:
+		s.duties.Vacated(func(h duty.Seat) bool {
+			return slices.Contains(c.Seats, rollout.Seat{Member: h.Member, Epoch: h.Epoch})
+		}, "its session ended", c.AtMS)
+	case rollout.Open:
+		s.duties.Vacated(func(h duty.Seat) bool {
+			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
+		}, "it was started anew", c.AtMS)
+	}
+}
+
 // Enter takes the group to the newest format. Its instances, which have served without
 // sessions so far, have one each from here on.
 func (s *State) Enter() {
 	if s.format >= Format {
 		return
 	}
-	s.format = Format
+	was := s.format
+	if s.format = Format; was > 1 {
+		return
+	}
 	names := map[uint64]string{}
 	for _, m := range s.members {
 		names[m.ID] = m.Name
@@ -287,6 +342,8 @@
 	s.history = append(s.history, r)
 	s.bytes += r.size
 	s.policy, _ = rollout.ReadPolicy(r.Document.Sections[rollout.Section]) // it has been validated
+	duties, _ := duty.ReadPolicy(r.Document.Sections[duty.Section])
+	s.specs = duties.Specs()
 	for len(s.history) > 1 && (len(s.history) > MaxHistory || s.bytes > maxHistoryBytes) {
 		s.bytes -= s.history[0].size
 		s.history = append(s.history[:0], s.history[1:]...)
@@ -360,6 +417,10 @@
 	Epoch    uint64            `json:"epoch,omitempty"`
 	Phase    *rollout.Pending  `json:"phase,omitempty"`
 	Pending  *Revision         `json:"pending,omitempty"`
+
+	// From format 3 on.
+	Duties []*duty.Duty `json:"duties,omitempty"`
+	Number uint64       `json:"number,omitempty"`
 }
 
 type idImage struct {
@@ -379,6 +440,8 @@
 		Epoch:    s.rollout.Epoch,
 		Phase:    s.rollout.Pending,
 		Pending:  s.pending,
+		Duties:   s.duties.List(),
+		Number:   s.duties.Number,
 	}
 	for _, id := range s.order {
 		im.IDs = append(im.IDs, idImage{id, s.ids[id]})
@@ -411,7 +474,14 @@
 	}
 	s := &State{rules: rules, cluster: im.Cluster, ids: map[string]Outcome{}, members: map[uint64]Member{},
 		removed: im.Removed, format: im.Format, pending: im.Pending,
-		rollout: &rollout.State{Sessions: map[uint64]rollout.Session{}, Epoch: im.Epoch, Pending: im.Phase}}
+		rollout: &rollout.State{Sessions: map[uint64]rollout.Session{}, Epoch: im.Epoch, Pending: im.Phase},
+		duties:  duty.NewState(im.Number)}
+	for _, d := range im.Duties {
+		if d == nil || d.Number > im.Number || len(d.Note) > duty.MaxNote {
+			return nil, fmt.Errorf("reading an agreed state: a duty that can't be")
+		}
+		s.duties.Duties[d.Name] = d
+	}
 	for _, x := range im.Sessions {
 		s.rollout.Sessions[x.Member] = x
 	}
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 )
 
@@ -185,6 +186,12 @@
 				p.add(at, "%s", why)
 			}
 		}
+		if name == duty.Section {
+			_, wrong := duty.ReadPolicy(values)
+			for _, why := range wrong {
+				p.add(at, "%s", why)
+			}
+		}
 		if rule := r.Sections[name]; rule != nil {
 			for _, why := range rule(d, values) {
 				p.add(at, "%s", why)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -215,7 +215,7 @@
 func TestOlderProgramInTheGroup(t *testing.T) {
 	a := lead(t)
 	a.state.ApplyMembers([]agreement.Member{{ID: 88, Name: "old", Address: "127.0.0.1:8"}}, nil)
-	image := strings.Replace(string(a.state.Encode()), `"format":2`, `"format":1`, 1)
+	image := strings.Replace(string(a.state.Encode()), `"format":3`, `"format":1`, 1)
 	image = regexp.MustCompile(`,"sessions":\[.*?\],"epoch":\d+`).ReplaceAllString(image, "")
 	old, err := agreement.Restore(agreement.Rules{}, []byte(image))
 	if err != nil || old.Format() != 1 {
@@ -243,7 +243,7 @@
 	}
 	a.Reads(88, agreement.Format)
 	tick()
-	if a.State().Format() != 2 {
+	if a.State().Format() != agreement.Format {
 		t.Fatal("the group does not go to the new format")
 	}
 	for _, x := range a.State().Rollout().List() {
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -38,6 +38,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
@@ -125,6 +126,7 @@
 	Sessions []SessionMessage    // to other instances
 	Permit   *rollout.Permit     // whether the fronts may admit jobs, where that has changed
 	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
+	Duties   *[]duty.Held        // what this instance holds, where that has changed
 }
 
 // SessionMessage is a word on sessions to another instance.
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -38,7 +38,7 @@
 
 func (e *Effects) empty() bool {
 	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil &&
-		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil
+		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil
 }
 
 // save makes records of what must outlive the process. The order matters where the end of
@@ -164,6 +164,8 @@
 		i.state.Enter()
 	case m.Command != nil:
 		i.applyCommand(m.Command)
+	case m.Duty != nil:
+		i.applyDuty(m.Duty)
 	default:
 		if o, ok := i.state.Apply(c); ok {
 			i.outcome = append(i.outcome, outcome{c.ID, o})
@@ -246,7 +248,7 @@
 			agreement.Format,
 		)
 	}
-	if m.Command != nil || m.Enter {
+	if m.Command != nil || m.Duty != nil || m.Enter {
 		return m, agreement.Change{}, nil
 	}
 	doc, err := agreement.Decode(m.Document)
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
@@ -40,6 +41,10 @@
 	Permit func(rollout.Permit)
 	// Stage is told of a change that the fronts must be made ready for; Staged is the answer.
 	Stage func(agreement.Revision)
+	// Duties is told, on the same goroutine, what this instance holds, whenever that changes. It
+	// must not wait.
+	Duties func([]duty.Held)
+	Labels []string // what this instance has that duties ask for
 }
 
 // Runner is an instance with a clock, a disk and a network. One goroutine drives it.
@@ -88,6 +93,7 @@
 		r.store.Close()
 		return nil, err
 	}
+	r.inst.Labels(cfg.Labels)
 	r.publish()
 	return r, nil
 }
@@ -178,6 +184,9 @@
 	if e.Stage != nil && r.cfg.Stage != nil {
 		r.cfg.Stage(*e.Stage)
 	}
+	if e.Duties != nil && r.cfg.Duties != nil {
+		r.cfg.Duties(*e.Duties)
+	}
 	if e.Permit != nil && r.cfg.Permit != nil {
 		r.cfg.Permit(*e.Permit)
 	}
@@ -308,6 +317,20 @@
 	return a.Outcome, a.Err
 }
 
+// Duty puts a holder's or an operator's word into the log and waits for what becomes of it.
+func (r *Runner) Duty(ctx context.Context, c duty.Command) (agreement.Outcome, error) {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Duty(c) })
+	if err != nil {
+		return agreement.Outcome{}, err
+	}
+	return a.Outcome, a.Err
+}
+
+// Away says whether this instance is about to end, and so hands on what it holds.
+func (r *Runner) Away(ctx context.Context, away bool) error {
+	return r.do(ctx, func() { r.inst.Away(away) })
+}
+
 // Boottime is the clock of leases: it goes on while the process or the machine stands still,
 // and nobody sets it. Processes of one machine share it.
 func Boottime() time.Duration {
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 )
@@ -35,6 +36,8 @@
 	permit  rollout.Permit    // as told last
 	told    bool
 	staging string // the change that the fronts have been asked to be ready for
+
+	duties duties
 }
 
 // Clock tells the time before an input: on a clock that goes on while the process, or the
@@ -82,13 +85,14 @@
 			Asked:  time.Duration(r.AskedNs),
 			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt),
 			Running: r.Running})
+		i.ses.duties.told(from, r.Away, r.Labels)
 	}
 	if g := m.Grant; g != nil {
 		if g.AskedNs > int64(i.ses.now) {
 			return fmt.Errorf("a lease that was asked for in the time to come")
 		}
-		i.ses.holder.Granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
-			For: time.Duration(g.ForNs)})
+		i.granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
+			For: time.Duration(g.ForNs)}, g.Index)
 	}
 	i.sessions()
 	return nil
@@ -114,6 +118,9 @@
 		s := i.rn.BasicStatus()
 		i.ses.met = i.ses.met || s.Lead != raft.None
 		i.takeLead(s)
+		if i.state.Format() < agreement.Format {
+			i.enter()
+		}
 		if i.state.Format() > 1 {
 			i.ses.holder.Follow(i.state.Rollout())
 			i.report(s)
@@ -121,13 +128,11 @@
 				i.confirm()
 				i.judge()
 			}
-		} else {
-			if i.ses.met {
-				i.ses.holder.Old()
-			}
-			i.enter()
+		} else if i.ses.met {
+			i.ses.holder.Old()
 		}
 		i.tellPermit()
+		i.tellDuties()
 		i.stage()
 	})
 }
@@ -143,6 +148,7 @@
 		x.asked, x.read, x.index = nil, "", 0
 	case leads && (x.leader == nil || x.leader.Term() != s.GetTerm()):
 		x.leader = rollout.NewLeader(x.now, s.GetTerm())
+		x.duties.leader = duty.NewLeader(x.now, s.GetTerm())
 		clear(x.waiting)
 		x.asked, x.read, x.index = nil, "", 0
 		x.holder.Again()
@@ -168,11 +174,12 @@
 	}
 	if s.Lead == i.identity.Id {
 		i.reported(r)
+		x.duties.told(i.identity.Id, x.duties.away, x.duties.labels)
 		return
 	}
 	i.say(s.Lead, &schema.SessionMessage{Report: &schema.SessionReport{Nonce: r.Nonce, Epoch: r.Epoch,
 		AskedNs: int64(r.Asked), Staged: r.Staged, Refused: r.Refused, Closed: r.Closed,
-		Attempt: int64(r.Attempt), Running: r.Running}})
+		Attempt: int64(r.Attempt), Running: r.Running, Away: x.duties.away, Labels: x.duties.labels}})
 }
 
 func (i *Instance) say(to uint64, m *schema.SessionMessage) {
@@ -190,11 +197,12 @@
 				continue
 			}
 			g := x.leader.Grant(x.now, r, i.state.Rollout(), i.policy())
+			index := i.dutiesFrom(member.ID)
 			if member.ID == i.identity.Id {
-				x.holder.Granted(g)
+				i.granted(g, index)
 			} else {
 				i.say(member.ID, &schema.SessionMessage{Grant: &schema.SessionGrant{Epoch: g.Epoch,
-					AskedNs: int64(g.Asked), ForNs: int64(g.For)}})
+					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index}})
 			}
 		}
 		x.asked, x.read, x.index = nil, "", 0
@@ -232,18 +240,19 @@
 		}
 		_ = i.rn.Propose(encodeCommand(c)) // dropped, it is asked for again
 	}
+	i.judgeDuties()
 }
 
-// enter asks for format 2, once every instance is known to read it.
+// enter asks for the newest format, once every instance is known to read it.
 func (i *Instance) enter() {
 	if i.ses.leader == nil || len(i.unable()) > 0 || i.ticks-i.ses.entered < uint64(i.cfg.ElectionTicks) {
 		return
 	}
 	i.ses.entered = i.ticks
-	_ = i.rn.Propose(encode(&schema.Change{Format: 2, Enter: true}))
+	_ = i.rn.Propose(encode(&schema.Change{Format: agreement.Format, Enter: true}))
 }
 
-// unable names the members that are not known to read format 2.
+// unable names the members that are not known to read the newest format.
 func (i *Instance) unable() []string {
 	old, silent := i.olderOnes()
 	return append(old, silent...)
--- /dev/null
+++ b/internal/duty/policy.go
@@ -0,0 +1,74 @@
+package duty
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Section is the section of the agreed document that says which duties there are.
+const Section = "duties"
+
+// The names of the duties.
+const (
+	Backup = "backup"   // writes backups of the agreed state
+	Drill  = "drill-%d" // does nothing, many times a second: for practice, and for audits
+)
+
+// CanBackup is the label of an instance that has a directory for backups.
+const CanBackup = "backups"
+
+// Policy is what the section says.
+type Policy struct {
+	Drills int
+	Every  time.Duration // between two backups; 0: none are made
+	Keep   int           // how many stay
+	Prefer []string      // who is to keep the backups, the best first
+}
+
+// ReadPolicy reads the section, and gives what is wrong with it.
+func ReadPolicy(values map[string]string) (p Policy, wrong []string) {
+	p.Keep = 24
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		text := values[key]
+		var err error
+		bad := func(what string) { wrong = append(wrong, fmt.Sprintf("%s: %q is not %s", key, text, what)) }
+		switch key {
+		case "drill":
+			if p.Drills, err = strconv.Atoi(text); err != nil || p.Drills < 0 || p.Drills > 100 {
+				bad("a number from 0 to 100")
+			}
+		case "backup_every":
+			p.Every, err = time.ParseDuration(text)
+			if err != nil || p.Every < time.Second || p.Every > 366*24*time.Hour {
+				bad("a time from 1s to 8784h, as in \"1h\"")
+			}
+		case "backup_keep":
+			if p.Keep, err = strconv.Atoi(text); err != nil || p.Keep < 1 || p.Keep > 10_000 {
+				bad("a number from 1 to 10000")
+			}
+		case "backup_prefer":
+			p.Prefer = strings.Fields(text)
+		default:
+			wrong = append(wrong, fmt.Sprintf(
+				"%q is no key of this section; backup_every, backup_keep, backup_prefer and drill are", key))
+		}
+	}
+	return p, wrong
+}
+
+// Specs lists the duties that there are.
+func (p Policy) Specs() []Spec {
+	var list []Spec
+	if p.Every > 0 {
+		list = append(list, Spec{Name: Backup, Label: CanBackup, Prefer: p.Prefer})
+	}
+	for n := range p.Drills {
+		list = append(list, Spec{Name: fmt.Sprintf(Drill, n+1)})
+	}
+	slices.SortFunc(list, func(a, b Spec) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
--- a/internal/prove/front.go
+++ b/internal/prove/front.go
@@ -62,6 +62,10 @@
 	for _, r := range e.Revisions {
 		m.later(int64(1+w.rng.IntN(6)), func() { m.run(r) })
 	}
+	if e.Duties != nil {
+		held := *e.Duties
+		m.later(int64(1+w.rng.IntN(6)), func() { m.holds(held) })
+	}
 	if e.Permit != nil {
 		p := *e.Permit
 		m.permits = append(m.permits, p)
--- a/internal/prove/story.go
+++ b/internal/prove/story.go
@@ -402,6 +402,17 @@
 	)
 }
 
+// level says whether all members have applied the same entries.
+func (w *world) level() bool {
+	applied := map[uint64]bool{}
+	for _, m := range w.up() {
+		if w.member(m) {
+			applied[m.inst.Applied()] = true
+		}
+	}
+	return len(applied) == 1
+}
+
 // finale looks at everything once all is well again.
 func (w *world) finale() {
 	if len(w.res.Violations) > 0 {
@@ -422,6 +433,13 @@
 		w.violate("there is no leader though all is well")
 		return
 	}
+	// Duties may change hands at any time: what is looked at is what all have applied.
+	for range 50 {
+		if w.level() {
+			break
+		}
+		w.run(1)
+	}
 	var first []byte
 	for _, m := range w.up() {
 		if !w.member(m) {
--- a/internal/prove/world.go
+++ b/internal/prove/world.go
@@ -24,6 +24,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
@@ -53,6 +54,8 @@
 	Withdrawn  int            `json:"withdrawn"`
 	Admitted   int            `json:"admitted"`
 	Turned     int            `json:"turned_away"`
+	Acts       int            `json:"acts"`       // of holders of duties
+	Handed     int            `json:"hand_overs"` // of duties, from one to another
 	Terms      uint64         `json:"terms"`
 	Faults     map[string]int `json:"faults"`
 	Violations []string       `json:"violations,omitempty"`
@@ -106,6 +109,7 @@
 	stalled int64 // it stands still until then
 	front   front
 	permits []rollout.Permit // that its fronts have not come to yet
+	duties  practice
 }
 
 type world struct {
@@ -129,7 +133,9 @@
 	calm     bool
 	log      *logrus.Logger
 	numbers  uint64
-	newest   uint64 // revision that a job was admitted under
+	acts     map[string]act
+	noted    map[string]int // by duty, the newest note that its holder was told is agreed on
+	newest   uint64         // revision that a job was admitted under
 	newestAt string
 }
 
@@ -140,8 +146,8 @@
 	}
 	w := &world{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), faults: rand.New(rand.NewPCG(o.Seed, 2)),
 		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, states: map[uint64][32]byte{},
-		byRev: map[uint64]string{},
-		byID:  map[string]uint64{}, acked: map[string]uint64{}, log: logrus.New(), numbers: 100}
+		byRev: map[uint64]string{}, acts: map[string]act{}, noted: map[string]int{},
+		byID: map[string]uint64{}, acked: map[string]uint64{}, log: logrus.New(), numbers: 100}
 	w.log.SetOutput(io.Discard)
 	if o.Trace != nil {
 		w.log.SetOutput(o.Trace)
@@ -225,8 +231,9 @@
 		Classes: []agreement.Class{{Name: "c", Effect: "retryable", GiveUp: 5e9, Aim: 1e9,
 			Worth: float64(n)}},
 	}
+	d.Sections = map[string]map[string]string{duty.Section: {"drill": "3"}}
 	if w.o.Seed%4 == 3 {
-		d.Sections = map[string]map[string]string{rollout.Section: {"cut_off": rollout.Serve}}
+		d.Sections[rollout.Section] = map[string]string{"cut_off": rollout.Serve}
 	}
 	return d
 }
@@ -247,7 +254,7 @@
 	w := m.w
 	m.life++
 	m.told, m.applied, m.dieIn, m.stalled = 0, 0, 0, 0
-	m.front, m.permits = front{}, nil
+	m.front, m.permits, m.duties = front{}, nil, practice{}
 	m.answers = map[consensus.Ticket]func(consensus.Answer){}
 	saved := consensus.NewSaved()
 	var err error
@@ -277,6 +284,7 @@
 	m.drive()
 	m.beat()
 	m.jobs()
+	m.practise()
 }
 
 func (m *machine) beat() {
--- a/internal/rollout/explore_whole_test.go
+++ b/internal/rollout/explore_whole_test.go
@@ -279,7 +279,7 @@
 	return s.seen.count.Load(), !s.stop.Load()
 }
 
-var most = flag.Int64("explore", 100_000, "visit so many states of three instances at the most")
+var most = flag.Int64("explore", 100_000, "visit so many states at the most")
 
 func TestEveryOrder(t *testing.T) {
 	for _, b := range []bounds{
@@ -289,6 +289,9 @@
 		{nodes: 3, changes: 2},
 		{nodes: 3, changes: 1, holds: 1},
 		{nodes: 3, changes: 1, crashes: 1, losses: 1, stalls: 1},
+		{nodes: 3, changes: 2, holds: 1},
+		{nodes: 3, changes: 2, crashes: 1},
+		{nodes: 3, changes: 2, losses: 1, stalls: 1},
 		{nodes: 3, changes: 2, crashes: 1, losses: 1, holds: 1, stalls: 1, depositions: 1},
 	} {
 		b.whole = true
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -84,6 +84,18 @@
 	return max(seat.expires, l.began+Wait(p.Lease), seat.seen+Wait(p.Lease))
 }
 
+// Out says whether a member's lease has surely run out, whichever session it was for.
+func (l *Leader) Out(now time.Duration, member uint64, p Policy) bool {
+	x := l.seat(member)
+	return now >= max(x.expires, l.began+Wait(p.Lease), x.seen+Wait(p.Lease))
+}
+
+// Well says whether a member has been heard of within a time.
+func (l *Leader) Well(now time.Duration, member uint64, within time.Duration) bool {
+	x := l.seat(member)
+	return x.known && now-x.heard <= within
+}
+
 // over says whether a session has surely ended.
 func (l *Leader) over(now time.Duration, x Session, p Policy) bool {
 	if p.CutOff == Serve || x.Loose && !l.seat(x.Member).known {
