Have instances do the work of duties: drills, a backup a period; moorstack duty

The keeper at each instance begins and ends the work of what it holds, looks at its lease in the turn that acts, and gives back: by wish, when it ends, when the work fails. Operators list, show, hand on, pause and resume, and read the history; what can't be met is refused with the reason, by the leader.

The first duty of use keeps a backup of the agreed state for each period. Its directory remembers the newest fencing number under a lock and refuses older ones and other groups; a backup is read back and verified before it is noted in the agreed state, with its digest, and one that its writer could not note any more is taken for what it is. Ruled out: trusting the look at the lease alone.

Drills do nothing and write it down; the rig audits them (an older number after a newer one, two under one) and measures for how long nobody acts.

--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -24,6 +24,8 @@
 	proc map[string]*exec.Cmd
 	addr map[string]string
 	tls  map[string]string
+	// What starts for the first time has a directory for backups.
+	backups bool
 }
 
 func newGroup(t *testing.T) *group {
@@ -91,6 +93,12 @@
 listen = %[4]q
 `, name, freeAddress(g.t), g.addr[name], g.tls[name]), 0o600))
 	}
+	if g.backups && g.proc[name] == nil {
+		f, err := os.OpenFile(file, os.O_APPEND|os.O_WRONLY, 0)
+		check(g.t, err)
+		_, err = f.WriteString("[duties]\nbackups = \"kept\"\n")
+		check(g.t, errors.Join(err, f.Close()))
+	}
 	cmd := exec.Command(program, "serve", "--config", file, "--log-format", "json")
 	log, err := os.OpenFile(filepath.Join(g.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(g.t, err)
--- /dev/null
+++ b/cmd/moorstack/duty_test.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"moorstack/internal/backups"
+	"moorstack/internal/control"
+	"moorstack/internal/schema"
+)
+
+// sections puts sections into the configuration, in the place of those that it has.
+func (g *group) sections(at, text string) {
+	g.t.Helper()
+	got := g.must("config", "get", "--config", at+".toml")
+	if i := strings.Index(got, "[section"); i >= 0 {
+		got = got[:i]
+	}
+	check(g.t, os.WriteFile(filepath.Join(g.dir, "sections.toml"), []byte(got+text), 0o600))
+	g.must("config", "propose", "sections.toml", "--config", at+".toml")
+}
+
+func (g *group) duty(name string, at ...string) (d *schema.Duty) {
+	for _, n := range at {
+		out, code := g.run("duty", "show", name, "--output", "json", "--config", n+".toml")
+		if code == 0 && json.Unmarshal([]byte(out), &d) == nil {
+			return d
+		}
+	}
+	return nil
+}
+
+// held waits until somebody holds a duty under a number above the given.
+func (g *group) held(name string, above uint64, at ...string) (d *schema.Duty) {
+	g.t.Helper()
+	eventually(g.t, name+" is held", func() bool {
+		d = g.duty(name, at...)
+		return d != nil && d.Holder != "" && d.Number > above
+	})
+	return d
+}
+
+func without(list []string, name string) (rest []string) {
+	for _, n := range list {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+func TestDuties(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	all := []string{"n1", "n2", "n3"}
+	g.form(all...)
+	g.admits(all...)
+	g.expect(0, "the configuration has no duties", "duty", "list", "--config", "n1.toml")
+	bad := g.must("config", "get", "--config", "n1.toml") + "[section.duties]\ndrill = \"many\"\n"
+	check(t, os.WriteFile(filepath.Join(g.dir, "bad.toml"), []byte(bad), 0o600))
+	g.expect(exitInvalid, `drill: "many" is not a number from 0 to 100`, "config", "propose", "bad.toml",
+		"--config", "n1.toml")
+	g.sections("n1", "[section.duties]\ndrill = \"2\"\n")
+	first := g.held("drill-1", 0, all...)
+
+	// By wish: to one that is named, under a greater number.
+	to := without(all, first.Holder)[0]
+	g.expect(0, "drill-1 is handed on to "+to, "duty", "hand-on", "drill-1", to, "--config", "n2.toml")
+	second := g.held("drill-1", first.Number, all...)
+	if second.Holder != to {
+		t.Errorf("handed on to %s, and %s holds it", to, second.Holder)
+	}
+	g.expect(exitFailed, to+" holds drill-1", "duty", "hand-on", "drill-1", to, "--config", "n1.toml")
+	g.expect(exitFailed, `there is no duty "drill-9"; drill-1, drill-2 are`, "duty", "hand-on", "drill-9",
+		"--config", "n1.toml")
+	g.expect(exitFailed, `there is no duty "drill-9"; drill-1, drill-2 are`, "duty", "show", "drill-9",
+		"--config", "n1.toml")
+	g.expect(exitFailed, `the group has no instance "n9"`, "duty", "hand-on", "drill-1", "n9", "--config",
+		"n1.toml")
+	g.expect(exitUsage, "", "duty", "hand-off", "drill-1", "--config", "n1.toml")
+
+	// Paused, nobody holds it; then somebody does again.
+	g.expect(0, "drill-1 is paused", "duty", "pause", "drill-1", "--config", "n1.toml")
+	eventually(t, "it is given back", func() bool {
+		d := g.duty("drill-1", all...)
+		return d != nil && d.Holder == ""
+	})
+	g.expect(exitFailed, "is paused by socket already", "duty", "pause", "drill-1", "--config", "n2.toml")
+	g.expect(exitFailed, "resume it first", "duty", "hand-on", "drill-1", "--config", "n2.toml")
+	g.expect(0, "drill-1 is resumed", "duty", "resume", "drill-1", "--config", "n1.toml")
+	third := g.held("drill-1", second.Number, all...)
+
+	// One that ends hands on first; one that is killed is waited for.
+	rest := without(all, third.Holder)
+	g.kill(third.Holder, syscall.SIGTERM)
+	fourth := g.held("drill-1", third.Number, rest...)
+	if out := g.must("duty", "history", "drill-1", "--config", rest[0]+".toml"); !strings.Contains(out,
+		fmt.Sprintf("%d       %s", third.Number, third.Holder)) || strings.Contains(out,
+		"its session ended") {
+		t.Errorf("asked to end, it has not handed on: %s", out)
+	}
+	g.start(third.Holder)
+	g.admits(third.Holder)
+	g.kill(fourth.Holder, syscall.SIGKILL)
+	fifth := g.held("drill-1", fourth.Number, without(all, fourth.Holder)...)
+	if fifth.Holder == fourth.Holder {
+		t.Errorf("%s is dead and holds drill-1", fifth.Holder)
+	}
+}
+
+// One backup for each period, through deaths of whoever keeps them; a directory takes nothing under
+// an old number.
+func TestBackupKeeper(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	all := []string{"n1", "n2", "n3"}
+	g.backups = true
+	g.form(all[:2]...)
+	g.backups = false // the third has no directory
+	g.start("n3")
+	g.must("cluster", "add", "n3", g.addr["n3"], "--promote", "--config", "n1.toml")
+	g.sections("n1", "[section.duties]\nbackup_every = \"1s\"\nbackup_keep = \"5\"\n")
+	dir := backups.Dir{Path: filepath.Join(g.dir, "kept"), Verify: func(b []byte) error {
+		_, err := control.ReadBackup(b)
+		return err
+	}}
+	for range 3 {
+		d := g.held(dutyBackup, 0, all...)
+		if d.Holder == "n3" {
+			t.Fatalf("n3 has no directory and keeps the backups")
+		}
+		g.expect(exitFailed, `n3 can't hold backup: n3 has not the label "backups"`, "duty", "hand-on",
+			dutyBackup,
+			"n3", "--config", "n3.toml")
+		g.kill(d.Holder, syscall.SIGKILL)
+		after := g.held(dutyBackup, d.Number, without(all, d.Holder)...)
+		eventually(t, "it goes on", func() bool {
+			now := g.duty(dutyBackup, after.Holder)
+			return now != nil && string(now.Note) != "" && string(now.Note) != string(d.Note)
+		})
+		g.start(d.Holder)
+		g.admits(d.Holder)
+	}
+	// What is noted is what is there, and whole.
+	d := g.held(dutyBackup, 0, all...)
+	var kept backups.Kept
+	check(t, json.Unmarshal(d.Note, &kept))
+	list, err := dir.List()
+	if err != nil || len(list) == 0 || len(list) > 5 {
+		t.Fatalf("%v: %v", err, list)
+	}
+	for _, name := range list {
+		b, err := os.ReadFile(filepath.Join(dir.Path, name))
+		if err != nil || dir.Verify(b) != nil {
+			t.Errorf("%s: %v, %v", name, err, dir.Verify(b))
+		}
+	}
+	got, err := control.ReadBackup([]byte("x"))
+	if err == nil {
+		t.Errorf("read %v", got)
+	}
+	_, err = dir.Keep(backups.Request{Group: "another", Duty: dutyBackup, Number: 1 << 60,
+		Period: time.Now()})
+	if err == nil || !strings.Contains(err.Error(), "is of the group") {
+		t.Errorf("another group writes: %v", err)
+	}
+}
+
+const dutyBackup = "backup"
--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -19,7 +19,7 @@
 	seed              uint64
 	story, keep       string
 	rate              float64
-	changes           int
+	changes, drills   int
 	shrink, quiet     bool
 	trace, kills      bool
 }
@@ -68,6 +68,7 @@
 	fl.StringVar(&f.story, "story", "", "play the story in this `file` instead")
 	fl.Float64Var(&f.rate, "rate", 20, "jobs a second at each instance; 0: none")
 	fl.IntVar(&f.changes, "changes", 0, "at most so many changes; 0: as many as there is time for")
+	fl.IntVar(&f.drills, "duties", 3, "how many duties the instances hold, to practise; 0 to 100")
 	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
 	fl.BoolVar(&f.shrink, "shrink", false,
 		"play a story that breaks something again, with fewer faults each time")
@@ -89,6 +90,8 @@
 		return fmt.Errorf("--tick: %v is not from 10ms to 5s", f.tick)
 	case f.changes < 0 || f.changes > 100_000:
 		return fmt.Errorf("--changes: %d is not from 1 to 100000", f.changes)
+	case f.drills < 0 || f.drills > 100:
+		return fmt.Errorf("--duties: %d is not from 0 to 100", f.drills)
 	case f.rate < 0 || f.rate > 1000:
 		return fmt.Errorf("--rate: %v is not from 0 to 1000", f.rate)
 	case f.quiet && f.story != "":
@@ -175,7 +178,7 @@
 	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self,
 		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
-		Seed: f.seed}}
+		Seed: f.seed, Drills: f.drills}}
 	if f.trace {
 		o.Trace = cmd.ErrOrStderr()
 	} else if terminal(os.Stderr) {
@@ -199,6 +202,7 @@
 	}
 	line("from propose to in force", r.Took)
 	line("pause in admission for a change", r.Pauses)
+	line("nobody acts while a duty changes hands", r.Gaps)
 	t.add("")
 	t.add(fmt.Sprintf("%d instances, %.1f s, %d faults; %d changes in force, %d withdrawn, %d calls repeated",
 		r.Instances, r.Seconds, r.Faults, r.InForce, r.Withdrawn, r.Repeats))
@@ -208,7 +212,8 @@
 	t.add(fmt.Sprintf("%.0f messages a second between all instances at rest", r.Messages))
 	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs",
 		r.Back.Round(time.Millisecond)))
-	t.add(fmt.Sprintf("%d admissions audited, %d violations", r.Admitted, len(r.Violations)))
+	t.add(fmt.Sprintf("%d admissions and %d acts in duties audited, %d violations", r.Admitted, r.Acts,
+		len(r.Violations)))
 	for _, v := range r.Violations {
 		t.add("  " + v)
 	}
--- a/internal/consensus/duty.go
+++ b/internal/consensus/duty.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"reflect"
 
 	"moorstack/internal/agreement"
@@ -68,15 +69,8 @@
 	if len(v.Specs) == 0 && len(i.state.Duties().Duties) == 0 {
 		return
 	}
-	sessions := i.state.Rollout().Sessions
 	for _, m := range i.state.Members() {
-		w := x.duties.words[m.ID]
-		one := duty.Member{Seat: duty.Seat{Member: m.ID}, Name: m.Name, Away: w.away, Labels: w.labels,
-			Well: x.leader.Well(x.now, m.ID, p.Lease)}
-		if s := sessions[m.ID]; s.Open && !s.Loose {
-			one.Seat.Epoch = s.Epoch
-		}
-		v.Members = append(v.Members, one)
+		v.Members = append(v.Members, i.asMember(m))
 	}
 	for _, c := range x.duties.leader.Look(i.state.Duties(), v) {
 		if i.cfg.Wall != nil {
@@ -126,6 +120,63 @@
 		Reason: c.Reason, AtMs: c.AtMS}})
 }
 
+// operateDuty puts an operator's wish into the log, where it can be met.
+func (i *Instance) operateDuty(r *request, op *schema.Operation) error {
+	if i.state.Format() < 3 {
+		return refuse("an instance runs a program that knows no duties; renew it first")
+	}
+	c := duty.Command{ID: fmt.Sprintf("duty/%x/%d/%d", i.identity.Id, i.ses.holder.Nonce(), r.ticket),
+		Duty: op.Name, Name: op.Author}
+	d := i.state.Duties().Duties[op.Name]
+	switch op.Kind {
+	case schema.Operation_PAUSE:
+		c.Kind = duty.Pause
+	case schema.Operation_RESUME:
+		c.Kind = duty.Resume
+	default:
+		c.Kind, c.Reason = duty.HandOn, "handed on by "+op.Author
+		if d != nil {
+			c.Number = d.Number
+		}
+		if op.By != "" && d != nil {
+			m, ok := i.state.MemberNamed(op.By)
+			if !ok {
+				return refuse("the group has no instance %q", op.By)
+			}
+			if d.Holder.Member == m.ID {
+				return refuse("%s holds %s", op.By, op.Name)
+			}
+			spec := duty.Spec{Name: op.Name}
+			for _, s := range i.state.Specs() {
+				if s.Name == op.Name {
+					spec = s
+				}
+			}
+			if err := duty.Eligible(i.asMember(m), spec); err != nil {
+				return refuse("%s can't hold %s: %v", op.By, op.Name, err)
+			}
+			c.To = m.ID
+		}
+	}
+	r.kind, r.command, r.id, r.data = proposing, true, c.ID, encodeDuty(c)
+	i.guarded(func() { i.try(r) })
+	return nil
+}
+
+// asMember is a member as the duties' judgement sees it.
+func (i *Instance) asMember(m agreement.Member) duty.Member {
+	x := &i.ses
+	w := x.duties.words[m.ID]
+	one := duty.Member{Seat: duty.Seat{Member: m.ID}, Name: m.Name, Away: w.away, Labels: w.labels}
+	if x.leader != nil {
+		one.Well = x.leader.Well(x.now, m.ID, i.policy().Lease)
+	}
+	if s := i.state.Rollout().Sessions[m.ID]; s.Open && !s.Loose {
+		one.Seat.Epoch = s.Epoch
+	}
+	return one
+}
+
 // Duty puts a holder's or an operator's word into the log.
 func (i *Instance) Duty(c duty.Command) Ticket {
 	r := &request{kind: proposing, id: c.ID, command: true}
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -284,6 +284,10 @@
 func refuse(format string, args ...any) error { return &RefusedError{fmt.Sprintf(format, args...)} }
 
 func (i *Instance) operate(r *request, op *schema.Operation, number uint64) error {
+	switch op.Kind {
+	case schema.Operation_HAND_ON, schema.Operation_PAUSE, schema.Operation_RESUME:
+		return i.operateDuty(r, op)
+	}
 	m, known := i.state.MemberNamed(op.Name)
 	if op.Kind != schema.Operation_ADD && !known {
 		return refuse("the group has no instance %q", op.Name)
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -420,12 +421,15 @@
 	return err
 }
 
-// Operate changes the members or the leader, if this instance leads.
+// Operate changes the members, the leader or a duty, if this instance leads.
 func (r *Runner) Operate(ctx context.Context, op *schema.Operation, number uint64) error {
 	a, err := r.ask(ctx, func() Ticket { return r.inst.Operate(op, number) })
 	if err != nil {
 		return err
 	}
+	if a.Err == nil && a.Outcome.Code != agreement.Accepted {
+		return &RefusedError{Reason: strings.Join(a.Outcome.Problems, "; ")}
+	}
 	return a.Err
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -20,6 +20,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
+	"moorstack/internal/duty"
 	"moorstack/internal/keys"
 	"moorstack/internal/schema"
 )
@@ -37,6 +38,8 @@
 	Counters() map[string]uint64
 	Tick() time.Duration
 	ExplainRoute(*schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error)
+	// Holds is which duties this instance holds, as it knows.
+	Holds() []duty.Held
 }
 
 // MaxMessage bounds what is sent and taken: a backup is the largest.
@@ -53,6 +56,7 @@
 	schema.Control_Status_FullMethodName:    true,
 
 	schema.Control_Pending_FullMethodName: true,
+	schema.Control_Duties_FullMethodName:  true,
 
 	schema.Control_ExplainRoute_FullMethodName: true,
 }
@@ -456,6 +460,7 @@
 
 // Operate implements schema.ControlServer.
 func (s *Server) Operate(ctx context.Context, op *schema.Operation) (*schema.Operated, error) {
+	op.Author, _ = who(ctx)
 	return s.host.Operate(ctx, op)
 }
 
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -18,6 +18,7 @@
 	"moorstack/internal/consensus"
 	"moorstack/internal/control"
 	"moorstack/internal/core"
+	"moorstack/internal/duty"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
 	"moorstack/internal/rollout"
@@ -43,6 +44,7 @@
 	latest  chan agreement.Revision // of which only the newest counts
 	pending chan agreement.Revision // likewise: to be made ready for
 	gate    *gate
+	keeper  *keeper
 
 	mu      sync.Mutex
 	running uint64
@@ -82,6 +84,7 @@
 func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
+	i.keeper = newKeeper(i)
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
 	}
@@ -128,7 +131,8 @@
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: func(r agreement.Revision) { offer(i.latest, r) },
-		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted})
+		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted,
+		Duties: func(held []duty.Held) { i.keeper.tell(held) }, Labels: cfg.labels()})
 	if err != nil {
 		return err
 	}
@@ -180,6 +184,8 @@
 	}
 	i.runner.Start()
 	go server.Serve(l)
+	i.started("the duties", i.keeper.stop)
+	go i.keeper.run()
 	return nil
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -42,6 +42,11 @@
 	// What this instance admits, acts and believes is written to this file, for audits.
 	Audit string `toml:"audit"`
 
+	Duties struct {
+		// Where this instance can keep backups of what the group has agreed on.
+		Backups string `toml:"backups"`
+	} `toml:"duties"`
+
 	Control struct {
 		Socket string `toml:"socket"`
 		Listen string `toml:"listen"` // TLS, for certificates of operators and readers; off if empty
@@ -108,7 +113,7 @@
 	}
 	for _, p := range []*string{
 		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Front.Routes, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
-		&c.Control.Socket, &c.Audit} {
+		&c.Control.Socket, &c.Audit, &c.Duties.Backups} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -548,6 +548,15 @@
 		return fmt.Sprintf("%s has the vote of %s, which is removed", op.By, op.Name)
 	case schema.Operation_TRANSFER:
 		return op.Name + " leads"
+	case schema.Operation_HAND_ON:
+		if op.By != "" {
+			return fmt.Sprintf("%s is handed on to %s", op.Name, op.By)
+		}
+		return op.Name + " is handed on"
+	case schema.Operation_PAUSE:
+		return op.Name + " is paused: nobody is given it, and who holds it gives it back"
+	case schema.Operation_RESUME:
+		return op.Name + " is resumed"
 	}
 	return ""
 }
--- a/internal/rig/audit.go
+++ b/internal/rig/audit.go
@@ -138,6 +138,41 @@
 	return broken, admitted
 }
 
+// auditDuties looks for an act in a duty under a number after another under a later one, and for two
+// that act under one number. It also gives how often duties have changed hands, and for how long
+// nobody acted when they did.
+func auditDuties(all []entry) (broken []string, acts int, gaps []time.Duration) {
+	type last struct {
+		number uint64
+		entry
+	}
+	newest := map[string]last{}
+	for _, e := range all {
+		if e.what != "act" {
+			continue
+		}
+		words := strings.Fields(e.rest)
+		if len(words) != 2 {
+			broken = append(broken, fmt.Sprintf("%s: %q is no act", e.who, e.rest))
+			continue
+		}
+		number, err := strconv.ParseUint(words[1], 10, 64)
+		was := newest[words[0]]
+		if err != nil || number < was.number || number == was.number && e.who != was.who {
+			broken = append(broken,
+				fmt.Sprintf("%s acted in %s under the number %s %v after %s had under %d", e.who,
+					words[0], words[1], e.at-was.at, was.who, was.number))
+			continue
+		}
+		acts++
+		if number > was.number && was.number > 0 {
+			gaps = append(gaps, e.at-was.at)
+		}
+		newest[words[0]] = last{number, e}
+	}
+	return broken, acts, gaps
+}
+
 // pauses is for how long each instance admitted nothing because a change was taking hold.
 func pauses(all []entry) []time.Duration {
 	var list []time.Duration
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -41,6 +41,7 @@
 	Platform  []byte  // the platform file that all share
 	Rate      float64 // jobs a second at each instance; 0: none, and no workers
 	Seed      uint64
+	Drills    int // duties to practise with
 }
 
 // Process is an instance's process.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -8,10 +8,12 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/duty"
 	"moorstack/internal/schema"
 )
 
@@ -38,12 +40,15 @@
 	Took   []time.Duration `json:"took_ns"`
 	Pauses []time.Duration `json:"pauses_ns"` // in which an instance admitted nothing for a change
 	// from the last fault's end until all admitted jobs again
-	Back       time.Duration `json:"back_ns"`
-	Messages   float64       `json:"messages_a_s"` // between all instances, while nothing happened
-	Admitted   int           `json:"admitted"`
-	Jobs       Jobs          `json:"jobs"`
-	Violations []string      `json:"violations,omitempty"`
-	Last       []string      `json:"last,omitempty"` // what the instances did last before what broke
+	Back     time.Duration `json:"back_ns"`
+	Messages float64       `json:"messages_a_s"` // between all instances, while nothing happened
+	Admitted int           `json:"admitted"`
+	Acts     int           `json:"acts"` // in duties
+	// in which nobody acted in a duty that went from one to another
+	Gaps       []time.Duration `json:"gaps_ns"`
+	Jobs       Jobs            `json:"jobs"`
+	Violations []string        `json:"violations,omitempty"`
+	Last       []string        `json:"last,omitempty"` // what the instances did last before what broke
 }
 
 type play struct {
@@ -213,6 +218,12 @@
 			}
 			base = rev.Revision
 			doc.Classes[0].Worth = float64(n + 10)
+			if p.Drills > 0 {
+				if doc.Sections == nil {
+					doc.Sections = map[string]map[string]string{}
+				}
+				doc.Sections[duty.Section] = map[string]string{"drill": strconv.Itoa(p.Drills)}
+			}
 			at = time.Now()
 			try = 0
 		}
@@ -307,9 +318,14 @@
 	}
 	broken, admitted := auditPolicies(all)
 	p.res.Admitted, p.res.Pauses = admitted, pauses(all)
-	for _, b := range broken {
+	acted, acts, gaps := auditDuties(all)
+	p.res.Acts, p.res.Gaps = acts, gaps
+	for _, b := range append(broken, acted...) {
 		p.violate("%s", b)
 	}
+	if p.Drills > 0 && acts == 0 {
+		p.violate("nobody acted in a duty: there was nothing to audit")
+	}
 	j := p.res.Jobs
 	if j.Unsaid > 0 {
 		p.violate("%d refusals did not say when to come back", j.Unsaid)
--- a/internal/rig/story.go
+++ b/internal/rig/story.go
@@ -49,6 +49,7 @@
 	"start":   {who: 1, says: "it is started again, on its directory"},
 	"full": {who: 1, span: true,
 		says: "its disk is full for so long; then there is room, and it is started again"},
+	"hand-on": {who: 1, says: "an operator, who asks it, has the first duty go to it"},
 	"torn": {who: 1, span: true,
 		says: "it dies in the midst of a write, of which a part is on its disk; started after so long"},
 }
@@ -253,14 +254,16 @@
 			f := Fault{At: at.Round(time.Millisecond), Step: drawn[rng.IntN(len(drawn))], Kind: "stall",
 				Who: []string{[]string{Leader, It, Asked}[rng.IntN(3)]},
 				For: time.Duration(5*(1<<rng.IntN(9))) * time.Millisecond}
-			f.Kind = []string{"stall", "restart", "restart", "torn", "full", "isolate", "deaf",
-				"mute"}[rng.IntN(8)]
+			f.Kind = []string{"stall", "restart", "restart", "torn", "full", "isolate", "deaf", "mute",
+				"hand-on"}[rng.IntN(9)]
 			if shapes[f.Kind].span {
 				list = append(list, f)
 				continue
 			}
 			f.For = 0
-			list = append(list, f)
+			if list = append(list, f); f.Kind == "hand-on" {
+				continue
+			}
 			add(at+time.Duration(100+rng.IntN(2500))*time.Millisecond, "heal", 0)
 			continue
 		}
--- a/internal/rig/story_test.go
+++ b/internal/rig/story_test.go
@@ -79,3 +79,21 @@
 		t.Errorf("pauses %v", got)
 	}
 }
+
+func TestAuditFindsTwoThatAct(t *testing.T) {
+	act := func(ms int, who, rest string) entry {
+		return entry{time.Duration(ms) * time.Millisecond, who, "act", rest}
+	}
+	good := []entry{act(1, "a", "x 4"), act(2, "b", "y 5"), act(9, "b", "x 6")}
+	if broken, acts, gaps := auditDuties(good); len(broken) > 0 || acts != 3 || !slices.Equal(gaps,
+		[]time.Duration{8 * time.Millisecond}) {
+		t.Errorf("%v, %d acts, %v", broken, acts, gaps)
+	}
+	for says, bad := range map[string]entry{"a acted in x under the number 4": act(11, "a", "x 4"),
+		"a acted in x under the number 6": act(11, "a", "x 6"), `"x" is no act`: act(11, "a", "x")} {
+		if broken, _, _ := auditDuties(append(slices.Clone(good), bad)); len(broken) != 1 ||
+			!strings.Contains(broken[0], says) {
+			t.Errorf("%v, want %q", broken, says)
+		}
+	}
+}
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"moorstack/internal/duty"
+	"moorstack/internal/schema"
 )
 
 // tell brings the story's faults about, each at its time.
@@ -111,6 +115,13 @@
 		x := p.Named(who[0])
 		p.Kill(x)
 		time.AfterFunc(f.For, func() { _ = p.Start(x) })
+	case "hand-on":
+		// Where it can't be met, say because it holds the duty, nothing changes.
+		x := p.Named(who[0])
+		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+		defer stop()
+		_, _ = x.Client.Operate(ctx, &schema.Operation{Kind: schema.Operation_HAND_ON,
+			Name: fmt.Sprintf(duty.Drill, 1), By: x.Name})
 	case "full":
 		x := p.Named(who[0])
 		if err := p.Fill(x); err != nil {
