Have one instance ask discovery and give the list to the others; give memory back at rest

N instances cost discovery N watches. With the duty "list" the holder's front passes on what it is told, word for word, with the fencing number; the others ask for nothing. A follower refuses an older number, a change of a list that it lacks and a beat that names another list, and begins anew with the whole; one that hears nothing for 2 to 4 s asks by itself. A holder to whom discovery does not speak tells nothing. Off on the platform, where there are no duties. Ruled out: a relay beside the front, for a listener more and a second reader of discovery's words.

--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -26,6 +26,8 @@
 	tls  map[string]string
 	// What starts for the first time has a directory for backups.
 	backups bool
+	// Where fronts find discovery; the platform file's, if empty.
+	discovery string
 }
 
 func newGroup(t *testing.T) *group {
@@ -76,12 +78,16 @@
 	if g.addr[name] == "" {
 		g.addr[name], g.tls[name] = freeAddress(g.t), freeAddress(g.t)
 		g.must("keys", "issue", name)
+		discovery := ""
+		if g.discovery != "" {
+			discovery = fmt.Sprintf("discovery = %q\n", g.discovery)
+		}
 		check(g.t, os.WriteFile(file, fmt.Appendf(nil, `name = %q
 data = "d-%[1]s"
 [front]
 platform = "platform.json"
 listen = %[2]q
-[peers]
+%[5]s[peers]
 listen = %[3]q
 tick = "20ms"
 [keys]
@@ -91,7 +97,7 @@
 [control]
 socket = "%[1]s.sock"
 listen = %[4]q
-`, name, freeAddress(g.t), g.addr[name], g.tls[name]), 0o600))
+`, name, freeAddress(g.t), g.addr[name], g.tls[name], discovery), 0o600))
 	}
 	if g.backups && g.proc[name] == nil {
 		f, err := os.OpenFile(file, os.O_APPEND|os.O_WRONLY, 0)
--- /dev/null
+++ b/cmd/moorstack/lists_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// catalog stands for discovery: it counts who watches, and tells each the list and its changes.
+type catalog struct {
+	*httptest.Server
+	mu       sync.Mutex
+	words    []string // a line each; the first is generation 1
+	watchers map[chan struct{}]bool
+	calls    int
+	deaf     bool
+}
+
+func newCatalog(t *testing.T) *catalog {
+	c := &catalog{watchers: map[chan struct{}]bool{},
+		words: []string{`{"generation":1,"reset":true,"instances":[]}`}}
+	c.Server = httptest.NewServer(http.HandlerFunc(c.serve))
+	t.Cleanup(func() { c.CloseClientConnections(); c.Close() })
+	return c
+}
+
+func (c *catalog) address() string { return strings.TrimPrefix(c.URL, "http://") }
+
+func (c *catalog) serve(w http.ResponseWriter, r *http.Request) {
+	news := make(chan struct{}, 1)
+	next := 0
+	fmt.Sscan(r.URL.Query().Get("index"), &next)
+	c.mu.Lock()
+	if c.calls++; c.deaf {
+		c.mu.Unlock()
+		w.WriteHeader(500)
+		return
+	}
+	c.watchers[news] = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.watchers, news)
+		c.mu.Unlock()
+	}()
+	for {
+		c.mu.Lock()
+		words := c.words[min(next, len(c.words)):]
+		next = len(c.words)
+		c.mu.Unlock()
+		for _, line := range words {
+			fmt.Fprintln(w, line)
+		}
+		if fmt.Fprintln(w); r.URL.Query().Get("stream") == "" {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-news:
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+func (c *catalog) watched() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.watchers)
+}
+
+// add has the list name a worker more.
+func (c *catalog) add(id, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	line, _ := json.Marshal(map[string]any{"generation": len(c.words) + 1, "instances": []any{map[string]any{
+		"instanceId": id, "hostPort": address, "zone": "z", "machineType": "k", "lifecycle": "SERVING",
+		"weight": 1}}})
+	c.words = append(c.words, string(line))
+	for news := range c.watchers {
+		select {
+		case news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// One instance asks discovery for all; the others know what it is told. When it stands still each asks
+// by itself until there is another, and goes back.
+func TestListKeeper(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	c := newCatalog(t)
+	g.discovery = c.address()
+	all := []string{"n1", "n2", "n3"}
+	g.form(all...)
+	eventually(t, "each asks discovery", func() bool { return c.watched() == 3 })
+	g.sections("n1", "[section.duties]\nlist = \"on\"\n")
+	eventually(t, "one asks for all", func() bool { return c.watched() == 1 })
+	keeper := g.held("list", 0, all...)
+
+	var mu sync.Mutex
+	asked := map[string]bool{} // jobs that came to the worker
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		asked[r.URL.Path] = true
+		w.WriteHeader(500)
+	}))
+	defer worker.Close()
+	c.add("w1", strings.TrimPrefix(worker.URL, "http://"))
+	for _, name := range all {
+		eventually(t, name+" knows the worker", func() bool {
+			mu.Lock()
+			clear(asked)
+			mu.Unlock()
+			g.job(name)
+			mu.Lock()
+			defer mu.Unlock()
+			return len(asked) > 0
+		})
+	}
+	// Its process stands still: the others go on, by themselves and then by another keeper.
+	wake := g.stall(keeper.Holder)
+	rest := without(all, keeper.Holder)
+	next := g.held("list", keeper.Number, rest...)
+	if next.Holder == keeper.Holder {
+		t.Fatalf("%s stands still and keeps the list", next.Holder)
+	}
+	for _, name := range rest {
+		if name != next.Holder {
+			eventually(t, name+" hears the new keeper", func() bool {
+				return strings.Contains(g.logOf(name), `"keeper":"`+next.Holder+`"`)
+			})
+		}
+	}
+	wake()
+	eventually(t, "one asks for all again", func() bool { return c.watched() == 1 })
+	// Where discovery speaks to nobody, nobody says that nothing has changed.
+	c.mu.Lock()
+	c.deaf = true
+	c.mu.Unlock()
+	c.CloseClientConnections()
+	eventually(t, "each tries by itself", func() bool {
+		return strings.Count(g.logOf("n1")+g.logOf("n2")+g.logOf("n3"),
+			"this instance asks discovery by itself") >= 2
+	})
+	c.mu.Lock()
+	c.deaf = false
+	c.mu.Unlock()
+	eventually(t, "one asks for all once more", func() bool { return c.watched() == 1 })
+	// Off, each asks for itself.
+	g.sections("n1", "[section.duties]\nlist = \"off\"\n")
+	eventually(t, "each asks discovery", func() bool { return c.watched() == 3 })
+	g.kill("n1", syscall.SIGTERM)
+}
--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -15,6 +15,7 @@
 // The names of the duties.
 const (
 	Backup = "backup"   // writes backups of the agreed state
+	List   = "list"     // asks discovery, and gives the list to the others
 	Drill  = "drill-%d" // does nothing, many times a second: for practice, and for audits
 )
 
@@ -23,6 +24,7 @@
 
 // Policy is what the section says.
 type Policy struct {
+	List   bool // one asks discovery for all
 	Drills int
 	Every  time.Duration // between two backups; 0: none are made
 	Keep   int           // how many stay
@@ -41,6 +43,10 @@
 			if p.Drills, err = strconv.Atoi(text); err != nil || p.Drills < 0 || p.Drills > 100 {
 				bad("a number from 0 to 100")
 			}
+		case "list":
+			if p.List = text == "on"; !p.List && text != "off" {
+				bad("on or off")
+			}
 		case "backup_every":
 			p.Every, err = time.ParseDuration(text)
 			if err != nil || p.Every < time.Second || p.Every > 366*24*time.Hour {
@@ -54,7 +60,8 @@
 			p.Prefer = strings.Fields(text)
 		default:
 			wrong = append(wrong, fmt.Sprintf(
-				"%q is no key of this section; backup_every, backup_keep, backup_prefer and drill are", key))
+				"%q is no key of this section; list, backup_every, backup_keep, backup_prefer and drill are",
+				key))
 		}
 	}
 	return p, wrong
@@ -63,6 +70,9 @@
 // Specs lists the duties that there are.
 func (p Policy) Specs() []Spec {
 	var list []Spec
+	if p.List {
+		list = append(list, Spec{Name: List})
+	}
 	if p.Every > 0 {
 		list = append(list, Spec{Name: Backup, Label: CanBackup, Prefer: p.Prefer})
 	}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -45,6 +45,7 @@
 	pending chan agreement.Revision // likewise: to be made ready for
 	gate    *gate
 	keeper  *keeper
+	lists   *hub
 
 	mu      sync.Mutex
 	running uint64
@@ -157,6 +158,8 @@
 	} else if err := i.reroute(); err != nil {
 		return err
 	}
+	i.lists = newHub(i)
+	i.network.TellLists(i.lists.tell)
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
 			log.WithError(err).Error("the rules stay as they were")
@@ -186,6 +189,8 @@
 	go server.Serve(l)
 	i.started("the duties", i.keeper.stop)
 	go i.keeper.run()
+	i.started("the list from others", i.lists.stop)
+	go i.lists.follow()
 	return nil
 }
 
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -223,8 +223,11 @@
 	if _, err := fmt.Sscanf(name, duty.Drill, &n); err == nil {
 		return k.drill
 	}
-	if name == duty.Backup {
+	switch name {
+	case duty.Backup:
 		return k.backups
+	case duty.List:
+		return k.i.lists.keep
 	}
 	return func(context.Context, *turn) error { return fmt.Errorf("this program knows no duty %q", name) }
 }
--- /dev/null
+++ b/internal/node/lists.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/duty"
+	"moorstack/internal/lists"
+	"moorstack/internal/schema"
+)
+
+// hub is an instance's part in the list: it keeps it for the others while it holds that duty, and
+// follows who does while it does not.
+type hub struct {
+	i    *Instance
+	log  logrus.FieldLogger
+	end  context.CancelFunc
+	ctx  context.Context
+	over chan struct{}
+
+	deaf  atomic.Bool // the keeper's own watch is down
+	mu    sync.Mutex
+	turn  *turn // of the duty, while it is held here
+	told  lists.Keeper
+	heard map[chan lists.News]bool // by whom, while it is
+}
+
+func newHub(i *Instance) *hub {
+	h := &hub{i: i, log: i.log.WithField("part", "list"), over: make(chan struct{}),
+		heard: map[chan lists.News]bool{}}
+	h.ctx, h.end = context.WithCancel(context.Background())
+	return h
+}
+
+func (h *hub) stop() error {
+	h.end()
+	<-h.over
+	return nil
+}
+
+// onLoop runs something on the loop, and waits.
+func (h *hub) onLoop(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	h.i.node.loop.Post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// keep is the duty's work: what discovery tells this instance is told to the others.
+func (h *hub) keep(ctx context.Context, t *turn) error {
+	h.mu.Lock()
+	h.turn, h.told = t, lists.Keeper{}
+	h.mu.Unlock()
+	if err := h.onLoop(ctx, func() {
+		h.i.node.front.Fed(false)
+		h.i.node.front.PassOn(h.pass)
+	}); err != nil {
+		return nil
+	}
+	err := h.watch(ctx)
+	h.i.node.loop.Post(func() { h.i.node.front.PassOn(nil) })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.turn = nil
+	for c := range h.heard {
+		close(c)
+	}
+	clear(h.heard)
+	return err
+}
+
+// watch waits until the duty ends, or discovery has not spoken to this instance for long: then it is
+// for another to try, and meanwhile each asks by itself.
+func (h *hub) watch(ctx context.Context) error {
+	tick := time.NewTicker(lists.Beat)
+	defer tick.Stop()
+	for spoke := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		watched := false
+		if h.onLoop(ctx, func() { watched = h.i.node.front.Watched() }) != nil {
+			return nil
+		}
+		if watched {
+			spoke = time.Now()
+		}
+		if time.Since(spoke) > 2*lists.Silence {
+			return errors.New("discovery does not speak to this instance")
+		}
+		// Hazard: its beats would say that nothing has changed, and it does not know.
+		h.deaf.Store(!watched)
+	}
+}
+
+// pass takes discovery's words, on the loop. It never waits: who is too slow begins anew.
+func (h *hub) pass(generation int64, whole bool, text []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.turn == nil {
+		return
+	}
+	n := h.told.Heard(generation, whole, append([]byte{}, text...))
+	n.Number = h.turn.number
+	for c := range h.heard {
+		select {
+		case c <- n:
+		default:
+			delete(h.heard, c)
+			close(c)
+		}
+	}
+}
+
+var errNotKept = errors.New("the list is not kept here")
+
+// tell tells another instance the list, until this one keeps it no more.
+func (h *hub) tell(ctx context.Context, send func(*schema.ListNews) error) error {
+	c := make(chan lists.News, 256)
+	var t *turn
+	var first lists.News
+	var err error
+	// The whole list and the changes after it are taken up in one turn: none is missed between.
+	if bad := h.onLoop(ctx, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if t = h.turn; t == nil || h.deaf.Load() || !t.May(consensus.Boottime()) {
+			err = errNotKept
+			return
+		}
+		first = lists.News{Number: t.number, Whole: true}
+		if first.Generation, first.Text, err = h.i.node.front.WholeList(); err == nil {
+			h.heard[c] = true
+		}
+	}); bad != nil || err != nil {
+		return errors.Join(bad, err)
+	}
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.heard, c)
+	}()
+	beat := time.NewTicker(lists.Beat)
+	defer beat.Stop()
+	newest := first.Generation
+	for n, ok := first, true; ; {
+		// Hazard: the look comes right before each word; what leaves all the same carries the number.
+		if !ok || !t.May(consensus.Boottime()) {
+			return errNotKept
+		}
+		if err := send(&schema.ListNews{Number: n.Number, Generation: n.Generation, Previous: n.Previous,
+			Whole: n.Whole, Text: n.Text}); err != nil {
+			return err
+		}
+		newest = n.Generation
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case n, ok = <-c:
+		case <-beat.C:
+			if h.deaf.Load() {
+				return errNotKept
+			}
+			n = lists.News{Number: t.number, Generation: newest, Previous: newest}
+		}
+	}
+}
+
+// follow has this instance be given the list by who keeps it, and asks discovery by itself while
+// that fails.
+func (h *hub) follow() {
+	defer close(h.over)
+	f := lists.NewFollower(consensus.Boottime(), rand.Float64())
+	alone := true
+	for h.ctx.Err() == nil {
+		keeper, number, ok := h.keeperNow()
+		if ok {
+			f.Agreed(number)
+			// The stream ends by itself when the keeper is silent for too long.
+			err := h.listen(f, keeper, &alone)
+			h.log.WithError(err).WithField("keeper",
+				keeper.Name).Debug("the list's keeper is not heard any more")
+		}
+		h.alone(f, !ok, &alone)
+		select {
+		case <-h.ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// alone goes back to asking discovery, where it is time: at once where nobody keeps the list.
+func (h *hub) alone(f *lists.Follower, nobody bool, alone *bool) {
+	if *alone || !nobody && !f.Alone(consensus.Boottime()) {
+		return
+	}
+	f.Lost()
+	if h.onLoop(h.ctx, func() { h.i.node.front.Fed(false) }) == nil {
+		*alone = true
+		h.log.Info("this instance asks discovery by itself")
+	}
+}
+
+// keeperNow is who keeps the list, unless that is this instance, or nobody, or the configuration has
+// no such duty.
+func (h *hub) keeperNow() (m agreement.Member, number uint64, ok bool) {
+	ctx, stop := context.WithTimeout(h.ctx, time.Second)
+	defer stop()
+	_ = h.i.runner.View(ctx, func(s *agreement.State) {
+		d := s.Duties().Duties[duty.List]
+		if d == nil || !d.Held() || d.Of == h.i.cfg.Name {
+			return
+		}
+		m, ok = s.Member(d.Holder.Member)
+		number = d.Number
+	})
+	return m, number, ok
+}
+
+// listen takes what a keeper tells, until it is silent or says what can't be.
+func (h *hub) listen(f *lists.Follower, keeper agreement.Member, alone *bool) error {
+	ctx, stop := context.WithCancelCause(h.ctx)
+	defer stop(nil)
+	silent := errors.New("the keeper is silent")
+	late := time.AfterFunc(lists.Silence, func() { stop(silent) })
+	defer late.Stop()
+	go func() {
+		// Another may keep it by now, and this one go on telling for as long as it does not know.
+		for ctx.Err() == nil {
+			if now, _, ok := h.keeperNow(); !ok || now.ID != keeper.ID {
+				stop(errors.New("another keeps the list"))
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(lists.Beat):
+			}
+		}
+	}()
+	return h.i.network.Lists(ctx, keeper, func(m *schema.ListNews) error {
+		late.Reset(lists.Silence)
+		take, err := f.Told(consensus.Boottime(), lists.News{Number: m.Number, Generation: m.Generation,
+			Previous: m.Previous, Whole: m.Whole, Text: m.Text})
+		if err != nil || !take && !*alone {
+			return err
+		}
+		if bad := h.onLoop(ctx, func() {
+			if take {
+				err = h.i.node.front.Take(m.Text)
+			}
+			if err == nil {
+				h.i.node.front.Fed(true)
+			}
+		}); bad != nil || err != nil {
+			f.Lost()
+			return errors.Join(bad, err)
+		}
+		if *alone = false; m.Whole {
+			h.log.WithFields(logrus.Fields{"keeper": keeper.Name, "generation": m.Generation}).
+				Info("another instance gives this one the list")
+		}
+		return nil
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"moorstack/internal/handover"
 	"moorstack/internal/net"
 	"moorstack/internal/platform"
+	"moorstack/internal/resident"
 	"moorstack/internal/routing"
 )
 
@@ -189,9 +190,29 @@
 			})
 		}
 	}()
+	n.loop.After(atRest, func() { n.rest(0) })
 	return n.loop.Run()
 }
 
+// atRest is how often a node looks whether it has nothing to do.
+const atRest = 2 * time.Second
+
+// rest gives back what only the start, or work that is over, has used, where no job has come since
+// the last look. Under load it would only cost faults.
+func (n *Node) rest(before uint64) {
+	sent, open := n.front.Forwards(), 0
+	for i := range n.cores {
+		open += n.cores[i].Waiting()
+	}
+	if sent == before && open == 0 {
+		if _, err := resident.GiveBack(); err != nil {
+			n.log.WithError(err).Debug("memory is not given back")
+			return // nor will it be
+		}
+	}
+	n.loop.After(atRest, func() { n.rest(sent) })
+}
+
 // Terms are what a running node can take over: the classes and tenants of settings, and
 // the rules by which jobs are routed.
 type Terms struct {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,6 +47,8 @@
 	from    string // the address that it calls from; empty: any
 
 	runner *consensus.Runner
+	// lists tells discovery's list to a caller; nil: this instance keeps none.
+	lists func(context.Context, func(*schema.ListNews) error) error
 
 	mu      sync.Mutex
 	links   map[string]*link // by address
@@ -438,6 +440,41 @@
 	return s.Describe(ctx, nil)
 }
 
+// TellLists has callers be told discovery's list by this function, for as long as it lasts.
+func (n *Network) TellLists(tell func(context.Context, func(*schema.ListNews) error) error) {
+	n.lists = tell
+}
+
+// Lists implements schema.PeersServer.
+func (s *server) Lists(in *schema.ListsRequest, out grpc.ServerStreamingServer[schema.ListNews]) error {
+	if st := s.n.runner.Status(); in.Cluster != st.Cluster || s.n.lists == nil {
+		return status.Errorf(codes.FailedPrecondition, "this is an instance of the group %s", st.Cluster)
+	}
+	if err := s.n.lists(out.Context(), out.Send); err != nil {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return nil
+}
+
+// Lists asks an instance for discovery's list, and hands on what it tells until the context ends, the
+// other side does, or told returns an error.
+func (n *Network) Lists(ctx context.Context, of agreement.Member, told func(*schema.ListNews) error) error {
+	conn, err := n.dial(of)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stream, err := schema.NewPeersClient(conn).Lists(ctx, &schema.ListsRequest{
+		Cluster: n.runner.Status().Cluster})
+	for err == nil {
+		var news *schema.ListNews
+		if news, err = stream.Recv(); err == nil {
+			err = told(news)
+		}
+	}
+	return err
+}
+
 // Operate implements schema.PeersServer, for an instance that doesn't lead.
 func (s *server) Operate(ctx context.Context, op *schema.Operation) (*schema.Operated, error) {
 	return s.n.operate(ctx, op, false)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"moorstack/brain"
@@ -28,12 +30,15 @@
 	generation int64
 	wanted     bool // the core wants a watch
 	watch      *call
+	fed        bool // another instance asks, and gives the list to this one
+	// passOn is told what discovery says, as it says it; nil: nobody is.
+	passOn func(generation int64, whole bool, text []byte)
 }
 
 // Watch begins to watch, or stops. One that is under way goes on: the core may ask for
 // another after a failure that a move of discovery has mended meanwhile.
 func (d *directory) Watch(on bool) {
-	if d.wanted = on; on && d.watch == nil {
+	if d.wanted = on; on && d.watch == nil && !d.fed {
 		d.begin()
 	} else if !on {
 		d.end()
@@ -56,13 +61,66 @@
 // the old one closes its watches only after a while, and its news may end before.
 func (d *directory) moved() {
 	d.end()
-	if d.wanted {
+	if d.wanted && !d.fed {
 		d.begin()
 	}
 }
 
-// Fetch asks for the whole list once.
-func (d *directory) Fetch() { d.ask(members) }
+// Fed says whether another instance gives this one the list: then it asks discovery for nothing.
+// Called on the loop.
+func (f *Front) Fed(on bool) {
+	d := f.dir
+	if d.fed == on {
+		return
+	}
+	if d.fed = on; on {
+		d.end()
+	} else if d.wanted && d.watch == nil {
+		d.begin()
+	}
+}
+
+// Watched says whether discovery is watched from here, and speaks. Called on the loop.
+func (f *Front) Watched() bool { return f.dir.watch != nil }
+
+// PassOn has what discovery says be told as it says it. Called on the loop, as is the function.
+func (f *Front) PassOn(tell func(generation int64, whole bool, text []byte)) { f.dir.passOn = tell }
+
+// Take takes over a list, or a change of it, that discovery has told another instance. Called on
+// the loop.
+func (f *Front) Take(text []byte) error {
+	var set routeSet
+	if err := json.Unmarshal(text, &set); err != nil {
+		return fmt.Errorf("a list that was passed on: %w", err)
+	}
+	f.dir.take(&set)
+	return nil
+}
+
+// WholeList is the list as it stands here, in discovery's words, and its generation. Called on the
+// loop.
+func (f *Front) WholeList() (generation int64, text []byte, err error) {
+	set := routeSet{Generation: f.dir.generation, Reset: true, Instances: []line{}}
+	for _, id := range slices.Sorted(maps.Keys(f.lines)) {
+		set.Instances = append(set.Instances, f.lines[id])
+	}
+	text, err = json.Marshal(set)
+	return set.Generation, text, err
+}
+
+// Fetch asks for the whole list once. One that is given it has it already: the core asks for the
+// sake of a watch that may be deaf, and here each beat says that nothing was missed.
+func (d *directory) Fetch() {
+	if !d.fed {
+		d.ask(members)
+		return
+	}
+	d.front.loop.After(0, func() { // not from within the core's call
+		if _, text, err := d.front.WholeList(); err == nil {
+			_ = d.front.Take(text)
+		}
+	})
+}
 
 // call is a call of discovery: a list, or a watch's lines.
 type call struct {
@@ -149,12 +207,19 @@
 		c.fail(fmt.Errorf("discovery's list: %w", err))
 		return
 	}
+	c.dir.take(&set)
+	if c.dir.passOn != nil {
+		c.dir.passOn(set.Generation, set.Reset, text)
+	}
+}
+
+func (d *directory) take(set *routeSet) {
 	kind := brain.Changes
 	if set.Reset {
 		kind = brain.Whole
 	}
-	c.dir.generation = set.Generation
-	c.dir.front.tell(kind, &set)
+	d.generation = set.Generation
+	d.front.tell(kind, set)
 }
 
 // over is the end of an answer: a list's right end, a watch's failure.
--- a/internal/platform/figures.go
+++ b/internal/platform/figures.go
@@ -2,6 +2,9 @@
 
 import "moorstack/internal/figures"
 
+// Forwards is how many attempts have been sent to next hops since the start.
+func (f *Front) Forwards() uint64 { return f.counts.Forwards }
+
 // count is where the jobs of a class are counted. A rule may give a job a class that came
 // with a reload; where it gave none, the job was refused before it had one.
 func (f *Front) count(class int) *figures.Class {
