Explore every order of a duty's events; hand duties on as soon as a node is asked to end

The search is a package for both models now.

A node that is asked to end drains its jobs first, for seconds; its duties need not wait for that, and are given back at the signal.

--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -160,6 +160,7 @@
 	}
 	i.lists = newHub(i)
 	i.network.TellLists(i.lists.tell)
+	i.node.Ending = func() { go i.keeper.leave() }
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
 			log.WithError(err).Error("the rules stay as they were")
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -198,19 +198,28 @@
 // patience is how long an instance that ends takes for handing on what it holds.
 const patience = time.Second
 
+// leave has every duty be given back, and none be given to this instance: it is about to end. Open
+// jobs may take long yet, and the duties need not wait for them.
+func (k *keeper) leave() {
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	if err := k.i.runner.Away(ctx, true); err != nil {
+		return // the agreement has stopped: the lease ends without a word
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, t := range k.turns {
+		t.stop()
+	}
+}
+
 // stop hands on what this instance holds, as far as that comes about in time.
 func (k *keeper) stop() error {
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	defer stop()
-	if len(k.holds()) > 0 && k.i.runner.Away(ctx, true) == nil {
-		k.mu.Lock()
-		for _, t := range k.turns {
-			t.stop()
-		}
-		k.mu.Unlock()
-		for len(k.holds()) > 0 && ctx.Err() == nil {
-			time.Sleep(2 * time.Millisecond)
-		}
+	k.leave()
+	for len(k.holds()) > 0 && ctx.Err() == nil {
+		time.Sleep(2 * time.Millisecond)
 	}
 	close(k.ends)
 	<-k.over
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 type Node struct {
 	// Reloaded, where it is set, is called on SIGHUP, on the node's loop.
 	Reloaded func()
+	// Ending, where it is set, is called when the node is asked to end, on its loop, before it drains.
+	Ending func()
 
 	loop  *net.Loop
 	log   logrus.FieldLogger
@@ -186,6 +188,9 @@
 					return
 				}
 				n.log.Info("asked to end")
+				if n.Ending != nil {
+					n.Ending()
+				}
 				n.drain(n.loop.Stop)
 			})
 		}
--- a/internal/rollout/explore_whole_test.go
+++ b/internal/rollout/explore_whole_test.go
@@ -4,13 +4,12 @@
 	"cmp"
 	"flag"
 	"hash/maphash"
-	"runtime"
 	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
+
+	"moorstack/internal/explore"
 )
 
 // Two states are the same if all that can happen from them is. Times count from now, and what is
@@ -182,104 +181,23 @@
 	return maphash.Bytes(seed, w.b)
 }
 
-// visited is the states that have been, by many searchers at once. Of each it keeps 64 bits: of
-// a hundred million states, two would be taken for one with a chance of 1 in 3,000.
-type visited struct {
-	shards [256]struct {
-		sync.Mutex
-		seen map[uint64]struct{}
-	}
-	count atomic.Int64
-}
-
-func (v *visited) first(key uint64) bool {
-	s := &v.shards[key>>56]
-	s.Lock()
-	defer s.Unlock()
-	if _, ok := s.seen[key]; ok {
-		return false
-	}
-	if s.seen == nil {
-		s.seen = map[uint64]struct{}{}
-	}
-	s.seen[key] = struct{}{}
-	v.count.Add(1)
-	return true
-}
-
-// search visits every state within the bounds, but no more than most, and gives the way to one that
-// is wrong.
-type search struct {
-	b     bounds
-	most  int64
-	seen  visited
-	stop  atomic.Bool
-	mu    sync.Mutex
-	wrong string
-	way   []string
+// place is a state, and within which bounds it is explored.
+type place struct {
+	*explored
+	b bounds
 }
 
-func (s *search) found(wrong string, way []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.wrong == "" {
-		s.wrong, s.way = wrong, slices.Clone(way)
-	}
-	s.stop.Store(true)
-}
+func (p place) Key() uint64   { return p.key() }
+func (p place) Wrong() string { return p.check(p.b) }
 
-// from visits what follows from a state.
-func (s *search) from(e *explored, way []string, visit func(*explored, []string)) {
-	for _, x := range e.next(s.b) {
-		if s.stop.Load() {
-			return
-		}
-		n := e.clone().take(x, s.b)
-		way := append(way, x.what)
-		if wrong := n.check(s.b); wrong != "" {
-			s.found(wrong, way)
-			return
-		}
-		if s.seen.first(n.key()) {
-			if s.seen.count.Load() >= s.most {
-				s.stop.Store(true)
-			}
-			visit(n, way)
-		}
-	}
-}
-
-func (s *search) deep(e *explored, way []string) { s.from(e, way, s.deep) }
-
-// run has all processors search: first broadly, until there is enough to share out.
-func (s *search) run() (states int64, whole bool) {
-	type place struct {
-		e   *explored
-		way []string
-	}
-	places := []place{{newExplored(s.b), nil}}
-	s.seen.first(places[0].e.key())
-	for len(places) > 0 && len(places) < 2000 && !s.stop.Load() {
-		p := places[0]
-		places = places[1:]
-		s.from(p.e, p.way, func(n *explored, way []string) {
-			places = append(places, place{n, slices.Clone(way)})
-		})
-	}
-	var wg sync.WaitGroup
-	var at atomic.Int64
-	for range runtime.GOMAXPROCS(0) {
-		wg.Go(func() {
-			for k := at.Add(1) - 1; k < int64(len(places)); k = at.Add(1) - 1 {
-				s.deep(places[k].e, slices.Clip(places[k].way))
-			}
-		})
+func (p place) Next() (list []explore.Step[place]) {
+	for _, x := range p.next(p.b) {
+		list = append(list, explore.Step[place]{What: x.what, After: place{p.clone().take(x, p.b), p.b}})
 	}
-	wg.Wait()
-	return s.seen.count.Load(), !s.stop.Load()
+	return list
 }
 
-var most = flag.Int64("explore", 100_000, "visit so many states at the most")
+var most = flag.Int64("explore", 40_000, "visit so many states at the most")
 
 func TestEveryOrder(t *testing.T) {
 	for _, b := range []bounds{
@@ -295,13 +213,12 @@
 		{nodes: 3, changes: 2, crashes: 1, losses: 1, holds: 1, stalls: 1, depositions: 1},
 	} {
 		b.whole = true
-		s := &search{b: b, most: *most}
 		began := time.Now()
-		n, whole := s.run()
-		if s.wrong != "" {
-			t.Errorf("%+v: %s:\n%s", b, s.wrong, strings.Join(s.way, "\n"))
+		r := explore.All(place{newExplored(b), b}, *most)
+		if r.Wrong != "" {
+			t.Errorf("%+v: %s:\n%s", b, r.Wrong, strings.Join(r.Way, "\n"))
 		}
-		t.Logf("%+v: %d states, all that there are: %v, %v", b, n, whole, time.Since(began).Round(
+		t.Logf("%+v: %d states, all that there are: %v, %v", b, r.States, r.Whole, time.Since(began).Round(
 			time.Second/10))
 	}
 }
@@ -310,15 +227,15 @@
 func TestOrdersFindWhatIsBroken(t *testing.T) {
 	for _, broken := range []string{"in force at commit", "evidence of nobody", "lease from the answer",
 		"wall clock", "no look after a stall", "front open before the policy is known", "a slower clock"} {
-		s := &search{b: bounds{nodes: 2, changes: 1, holds: 1, whole: true, broken: broken}, most: 2_000_000}
+		b := bounds{nodes: 2, changes: 1, holds: 1, whole: true, broken: broken}
 		if broken == "front open before the policy is known" {
-			s.b.crashes = 1
+			b.crashes = 1
 		}
-		n, _ := s.run()
-		if s.wrong == "" {
-			t.Errorf("%s: not found in %d states", broken, n)
+		r := explore.All(place{newExplored(b), b}, 2_000_000)
+		if r.Wrong == "" {
+			t.Errorf("%s: not found in %d states", broken, r.States)
 			continue
 		}
-		t.Logf("%s: found after %d states, by %d events: %s", broken, n, len(s.way), s.wrong)
+		t.Logf("%s: found after %d states, by %d events: %s", broken, r.States, len(r.Way), r.Wrong)
 	}
 }
