Have a list keeper tell no list before discovery has told it one

A keeper tells only while its own watch has spoken and has a list; the test hands the duty to one that has just started, while discovery is deaf, and jobs at the others still reach the worker.

--- a/cmd/moorstack/lists_test.go
+++ b/cmd/moorstack/lists_test.go
@@ -152,6 +152,28 @@
 		return strings.Count(g.logOf("n1")+g.logOf("n2")+g.logOf("n3"),
 			"this instance asks discovery by itself") >= 2
 	})
+	// One that has just started, and knows of no worker, does not tell the others that there is none.
+	fresh := without(all, g.held("list", 0, all...).Holder)[0]
+	g.kill(fresh, syscall.SIGKILL)
+	g.start(fresh)
+	g.admits(fresh)
+	eventually(t, fresh+" keeps the list", func() bool {
+		g.run("duty", "hand-on", "list", fresh, "--config", fresh+".toml")
+		d := g.duty("list", all...)
+		return d != nil && d.Holder == fresh
+	})
+	time.Sleep(700 * time.Millisecond) // a beat, and more
+	for _, name := range without(all, fresh) {
+		mu.Lock()
+		clear(asked)
+		mu.Unlock()
+		g.job(name)
+		mu.Lock()
+		if len(asked) == 0 || strings.Contains(g.logOf(name), `"generation":0`) {
+			t.Errorf("%s has forgotten the worker", name)
+		}
+		mu.Unlock()
+	}
 	c.mu.Lock()
 	c.deaf = false
 	c.mu.Unlock()
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -63,6 +63,7 @@
 	h.mu.Lock()
 	h.turn, h.told = t, lists.Keeper{}
 	h.mu.Unlock()
+	h.deaf.Store(true) // until discovery has spoken
 	if err := h.onLoop(ctx, func() {
 		h.i.node.front.Fed(false)
 		h.i.node.front.PassOn(h.pass)
@@ -138,7 +139,7 @@
 	if bad := h.onLoop(ctx, func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		if t = h.turn; t == nil || h.deaf.Load() || !t.May(consensus.Boottime()) {
+		if t = h.turn; t == nil || !h.i.node.front.Watched() || !t.May(consensus.Boottime()) {
 			err = errNotKept
 			return
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -80,8 +80,14 @@
 	}
 }
 
-// Watched says whether discovery is watched from here, and speaks. Called on the loop.
-func (f *Front) Watched() bool { return f.dir.watch != nil }
+// Watched says whether discovery is watched from here, has spoken, and has told a list. Called on the
+// loop.
+//
+// Hazard: one that has just started has no list, and would pass that on as one without workers.
+func (f *Front) Watched() bool {
+	d := f.dir
+	return d.watch != nil && !d.watch.ended && d.watch.in.HeadDone() && d.generation > 0
+}
 
 // PassOn has what discovery says be told as it says it. Called on the loop, as is the function.
 func (f *Front) PassOn(tell func(generation int64, whole bool, text []byte)) { f.dir.passOn = tell }
