Ask the agent for pushed lists within the grace; begin silent watches anew at once

Causes: where lists are pushed nobody opened a watch at all until a call had failed, since the module asks only where it must (MustAsk); the node went by the list of its start. A watch that is deaf was trusted for 4.5 s, whatever the grace. Where lists are asked, a watch that fell silent was begun anew only after the module's pause for discovery that is down, up to 5 s and more, while what it misses counts as told after 6 s. Ruled out: the decision itself, which holds each drain it knows of.

A list may be indented. Where discovery is asked not one call is added.

Without the calls beside the watch seven of the tests in internal/platform fail.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -154,6 +154,33 @@
 	Instances  []line `json:"instances"`
 }
 
+// heard is a list as it has come, which may be none at all.
+type heard struct {
+	routeSet
+	Generation *int64 `json:"generation"`
+}
+
+// list refuses what is no list: some other document, or part of one.
+//
+// Hazard: a foreign document that happens to be JSON reads as a list with nothing in it, and all workers
+// would be gone.
+func (h *heard) list() (*routeSet, error) {
+	if h.Generation == nil {
+		return nil, fmt.Errorf("it has no generation, and so is no list")
+	}
+	s := &h.routeSet
+	s.Generation = *h.Generation
+	if s.Reset && s.Instances == nil {
+		return nil, fmt.Errorf("generation %d names no instances, and says that it is whole", s.Generation)
+	}
+	for i, l := range s.Instances {
+		if l.ID == "" || l.Address == "" && lifecycles[l.Lifecycle] != brain.Removed {
+			return nil, fmt.Errorf("generation %d: instance %d has no instanceId or no hostPort", s.Generation, i)
+		}
+	}
+	return s, nil
+}
+
 type line struct {
 	ID        string  `json:"instanceId"`
 	Address   string  `json:"hostPort"`
--- /dev/null
+++ b/internal/platform/discovery_test.go
@@ -0,0 +1,315 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+)
+
+// agent stands for discovery, or for its agent beside the node: it has one worker, in one state.
+type agent struct {
+	*httptest.Server
+	mu      sync.Mutex
+	state   string
+	gen     int
+	deaf    bool          // open watches say nothing any more, nor do new ones
+	mute    bool          // calls are never answered
+	slow    time.Duration // calls take so long
+	down    bool
+	say     string // in place of the list, if not empty
+	cut     int    // the list is cut after so many bytes; 0: it is whole
+	calls   int    // for the whole list
+	watches int
+	ends    chan struct{} // closed: the watches that are open end
+}
+
+func newAgent(t *testing.T) *agent {
+	a := &agent{state: "SERVING", gen: 41, ends: make(chan struct{})}
+	a.Server = httptest.NewServer(http.HandlerFunc(a.serve))
+	t.Cleanup(func() { a.CloseClientConnections(); a.Close() })
+	return a
+}
+
+func (a *agent) do(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f()
+}
+
+// turn has the worker be in another state from now on.
+func (a *agent) turn(state string) { a.do(func() { a.state, a.gen = state, a.gen+1 }) }
+
+func (a *agent) list() string {
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.9:9",`+
+		`"zone":"z","machineType":"k","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}]}`, a.gen, a.state)
+}
+
+func (a *agent) serve(w http.ResponseWriter, r *http.Request) {
+	stream := r.URL.Query().Get("stream") != ""
+	a.mu.Lock()
+	if stream {
+		a.watches++
+	} else {
+		a.calls++
+	}
+	down, mute, slow, ends := a.down, a.mute && !stream, a.slow, a.ends
+	text := a.list()
+	if a.say != "" {
+		text = a.say
+	}
+	if a.cut > 0 {
+		text = text[:a.cut]
+	}
+	a.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(503)
+		return
+	case mute:
+		<-r.Context().Done()
+		return
+	case !stream:
+		select {
+		case <-time.After(slow):
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	w.WriteHeader(200)
+	for told := 0; ; {
+		var line string
+		a.do(func() {
+			if !a.deaf && told < a.gen {
+				line, told = a.list(), a.gen
+			}
+		})
+		fmt.Fprint(w, line)
+		if line != "" {
+			fmt.Fprintln(w)
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ends:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+const grace = 400 * time.Millisecond
+
+// follower is a front that follows the agent's list.
+func follower(t *testing.T, mode string, a *agent) *Front {
+	file := filepath.Join(t.TempDir(), "config.json")
+	cfg := configOf(t, file, mode, a)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	loop, err := net.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := New(loop, cfg, log)
+	set, err := cfg.Settings.Brain()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := core.New(set, 7, beats{loop}, f.Directory(), log)
+	if err == nil {
+		err = f.Open(c)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan error, 1)
+	go func() { over <- loop.Run() }()
+	t.Cleanup(func() {
+		loop.Post(loop.Stop)
+		<-over
+	})
+	return f
+}
+
+type beats struct{ loop *net.Loop }
+
+func (b beats) Now() time.Duration                       { return b.loop.Now() }
+func (b beats) At(at time.Duration, f func()) core.Timer { return b.loop.At(at, f) }
+
+func configOf(t *testing.T, file, mode string, a *agent) *Config {
+	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,"settings":{`+
+		`"fleet_size":1,"kinds":["k"],"zones":["z"],"membership_mode":%q,"classes":[{"name":"c","effect":"retryable",`+
+		`"give_up":5000000000,"slo":4000000000}],"contract":{"drain_grace":%d,"ask_every":10000000000}}}`,
+		a.Listener.Addr(), a.list(), mode, grace.Nanoseconds())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := ReadConfigFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// state is the worker's, as the front knows it.
+func (f *Front) state() string {
+	got := make(chan string, 1)
+	f.loop.Post(func() { got <- f.lines["s-1"].Lifecycle })
+	return <-got
+}
+
+// turns waits until the front knows the state, and fails if that takes longer than the agent's news may.
+func turns(t *testing.T, f *Front, state string, within time.Duration) {
+	t.Helper()
+	for began := time.Now(); f.state() != state; time.Sleep(time.Millisecond) {
+		if time.Since(began) > within {
+			t.Fatalf("%v after the agent knew it the front does not know of %s", within, state)
+		}
+	}
+}
+
+// stays fails if the front comes to know anything else.
+func stays(t *testing.T, f *Front, state string) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < grace; time.Sleep(time.Millisecond) {
+		if got := f.state(); got != state {
+			t.Fatalf("the front takes the worker for %q", got)
+		}
+	}
+}
+
+// What the agent has counts as told, whatever becomes of the watch and of single calls.
+//
+// The bound here is many times the grace: how fast this machine is must not decide. Without calls
+// beside the watch none of these ends at all.
+func TestPushedListIsKnown(t *testing.T) {
+	const bound = 20 * grace
+	for name, trouble := range map[string]func(a *agent){
+		"all well":                     func(*agent) {},
+		"deaf watch":                   func(a *agent) { a.deaf = true },
+		"deaf watch, slow calls":       func(a *agent) { a.deaf, a.slow = true, 3*grace/4 },
+		"silent calls":                 func(a *agent) { a.mute = true },
+		"indented":                     func(a *agent) { a.deaf, a.say = true, indented(a) },
+		"watches that end, deaf after": func(a *agent) { a.deaf = true; close(a.ends) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := newAgent(t)
+			f := follower(t, "pushed", a)
+			turns(t, f, "SERVING", bound)
+			a.do(func() { a.state, a.gen = "DRAINING", a.gen+1; trouble(a) })
+			turns(t, f, "DRAINING", bound)
+		})
+	}
+}
+
+func indented(a *agent) string {
+	var v any
+	if err := json.Unmarshal([]byte(a.list()), &v); err != nil {
+		panic(err)
+	}
+	text, _ := json.MarshalIndent(v, "", "  ")
+	return string(text) + "\n"
+}
+
+// From its first moment a process is held to what the agent has, and after an outage at once.
+func TestPushedListAtTheStartAndAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	a := newAgent(t)
+	a.deaf = true
+	f := follower(t, "pushed", a)
+	a.turn("DRAINING")
+	turns(t, f, "DRAINING", 20*grace)
+	a.do(func() { a.down = true; close(a.ends); a.ends = make(chan struct{}) })
+	a.turn("SERVING")
+	stays(t, f, "DRAINING")
+	a.do(func() { a.down = false })
+	turns(t, f, "SERVING", 20*grace)
+}
+
+// A list that makes no sense changes nothing, and a sound one after it is taken.
+func TestListsThatMakeNoSense(t *testing.T) {
+	t.Parallel()
+	a := newAgent(t)
+	a.deaf = true
+	f := follower(t, "pushed", a)
+	a.do(func() { a.gen = 50 })
+	turns(t, f, "SERVING", 20*grace)
+	for name, text := range map[string]string{
+		"foreign":           `{"status":"ok"}`,
+		"foreign, not JSON": "<html>",
+		"no instances":      `{"generation":60,"reset":true}`,
+		"no id":             `{"generation":60,"reset":true,"instances":[{"lifecycle":"SERVING"}]}`,
+		"a list":            `[]`,
+		"endless":           strings.Repeat(" ", longest+1),
+		"empty":             "null",
+	} {
+		a.do(func() { a.say = text })
+		stays(t, f, "SERVING")
+		if t.Failed() {
+			t.Fatal(name)
+		}
+	}
+	a.do(func() { a.say = "" })
+	for a.cut = 1; a.cut < len(a.list()); a.do(func() { a.cut += 7 }) {
+		calls := 0
+		a.do(func() { calls, a.state = a.calls, "DRAINING" })
+		for done := false; !done; time.Sleep(time.Millisecond) {
+			a.do(func() { done = a.calls > calls+1 })
+		}
+		if got := f.state(); got != "SERVING" {
+			t.Fatalf("cut after %d bytes: the front takes the worker for %q", a.cut, got)
+		}
+	}
+	a.do(func() { a.cut, a.gen = 0, 51 })
+	turns(t, f, "DRAINING", 20*grace)
+}
+
+// After a reload the new address is followed from the first moment, whatever its generations are.
+func TestPushedListAfterAReload(t *testing.T) {
+	t.Parallel()
+	a, b := newAgent(t), newAgent(t)
+	a.gen = 90
+	f := follower(t, "pushed", a)
+	b.do(func() { b.state, b.deaf = "DRAINING", true })
+	configOf(t, f.cfg.path, "pushed", b)
+	f.loop.Post(f.Reload)
+	turns(t, f, "DRAINING", 20*grace)
+	calls := 0
+	a.do(func() { calls = a.calls })
+	stays(t, f, "DRAINING")
+	a.do(func() {
+		if a.calls > calls {
+			t.Error("the old address is still asked")
+		}
+	})
+}
+
+// Where discovery is asked each call costs: the watch is all there is.
+func TestAskedListIsOnlyWatched(t *testing.T) {
+	t.Parallel()
+	a := newAgent(t)
+	f := follower(t, "on_request", a)
+	a.turn("DRAINING")
+	turns(t, f, "DRAINING", 20*grace)
+	stays(t, f, "DRAINING")
+	a.do(func() {
+		if a.calls != 0 || a.watches != 1 {
+			t.Errorf("%d calls and %d watches", a.calls, a.watches)
+		}
+	})
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -53,7 +53,7 @@
 	f.fosters = map[string]*client{}
 	f.lines, f.relays.waiting = map[string]line{}, map[uint64]*client{}
 	f.counts.Classes = make([]figures.Class, len(cfg.Settings.Classes))
-	f.dir = &directory{front: f, generation: cfg.Known.Generation}
+	f.dir = newDirectory(f)
 	return f
 }
 
@@ -66,6 +66,7 @@
 	f.tell(brain.Cached, &f.cfg.Known)
 	var err error
 	f.listener, err = f.loop.Listen(f.cfg.Listen, f.limits(), f.accept)
+	f.dir.open()
 	return err
 }
 
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -148,7 +148,7 @@
 		lines = append(lines, l)
 	}
 	raw, err := json.Marshal(lines)
-	return f.dir.generation, raw, err
+	return f.dir.told.Generation, raw, err
 }
 
 // Discovery is the address of discovery, and the one that the file gave last.
@@ -171,11 +171,12 @@
 	if err := json.Unmarshal(list, &known.Instances); err != nil {
 		return err
 	}
-	f.cfg.Known, f.dir.generation = known, generation
+	f.cfg.Known, f.dir.told.Generation = known, generation
 	f.core, f.shared = c, true
 	f.tell(brain.Cached, &f.cfg.Known)
 	c.Recall(p)
 	var err error
 	f.listener, err = f.loop.ListenOn(fd, f.limits(), f.accept)
+	f.dir.open()
 	return err
 }
