Send second copies only of jobs at a worker that has fallen silent

The settings do not tell whether a cancel stops work.

Change: where workers tell of progress, one that has a job of ours running and tells nothing for three notes is silent: it is drawn no more, and its jobs that may be repeated get a copy elsewhere.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,8 @@
 	outlier     = 4    // how many usual running times a single one may count for
 	suspect     = 0.25 // how ill a worker left out is; for an unsafe job, which an error loses, half
 	drain       = 2    // how fast a wait seen is taken to shorten; figures are flat from 2 to 8
-	early       = 0.25 // the part of its slack that a job waits before a second copy goes out
+	early       = 0.25 // the part of a usual running time from which a wait counts for one
+	quiet       = 3    // after how many notes that did not come a worker is silent
 	home        = 0.25 // how many jobs a step of one worker away from home counts for
 	far         = 10   // how much load crossing rooms counts for, as a multiple of its price
 	farthest    = 0.5  // and at most: a near worker half taken is no better than an idle far one
@@ -208,6 +209,9 @@
 
 // illness is the record of w's failures, faded since.
 func (b *Balancer) illness(now time.Duration, w *worker) float64 {
+	if b.silent(now, w) {
+		return 1
+	}
 	if w.ill > 0 { // else the power is wasted on every healthy worker
 		w.ill *= math.Exp2(-float64(now-w.illT) / float64(b.patience/2))
 	}
@@ -497,7 +501,7 @@
 	if w.State != Ready || c.Kind >= 0 && c.Kind != w.Kind || !q.onRoute(w) {
 		return false
 	}
-	// Hazard: two attempts out at once where that is not allowed.
+	// Hazard: two attempts out at once.
 	if q.out > 0 && !b.set.Limits.SecondCopies {
 		return false
 	}
@@ -699,19 +703,20 @@
 	}
 }
 
-// hedge sends a second copy of jobs that may be repeated and that wait already.
+// silent reports whether w has a job of ours that runs and has told nothing of it for long.
+func (b *Balancer) silent(now time.Duration, w *worker) bool {
+	return w.running > 0 && b.set.Progress > 0 && now-w.heard > quiet*b.set.Progress
+}
+
+// hedge sends a second copy of jobs that may be repeated and that are at a silent worker.
 //
-// Hazard: a worker goes silent or slow with the job in its queue, and no end tells of it in time.
+// Hazards: one that is gone ends nothing. A copy of a job that only waits takes the room of others, and
+// both run where a cancel stops nothing.
 func (b *Balancer) hedge(now time.Duration) {
 	for _, q := range b.list {
-		if q.over || q.out != 1 || q.class.Effect == Unsafe {
-			continue
-		}
-		t := &q.tries[len(q.tries)-1]
-		if t.ended || t.start > 0 || (now-t.sent).Seconds() < b.slack(now, q.Class, t.w)*early {
-			continue
+		if !q.over && q.out == 1 && q.class.Effect != Unsafe && b.silent(now, q.tries[len(q.tries)-1].w) {
+			b.try(now, q)
 		}
-		b.try(now, q)
 	}
 }
 
@@ -731,9 +736,7 @@
 			}
 		}
 	}
-	if b.set.TellsStart && b.set.Limits.SecondCopies {
-		b.hedge(now)
-	}
+	b.hedge(now)
 	for i := len(b.list) - 1; i >= 0; i-- {
 		// Hazard: no attempt's end comes, and the client's time runs out without an answer.
 		if q := b.list[i]; !q.over && now >= q.deadline {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -515,29 +515,41 @@
 	}
 }
 
-// Hazard: a worker goes silent with a job in its queue.
-func TestSecondCopyOfAWaitingJob(t *testing.T) {
+// Hazard: a worker goes silent with a job, and nothing tells of its end. One that goes on telling of jobs
+// of ours is there, however long others wait at it.
+func TestSecondCopyOfAJobAtASilentWorker(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		class  int
-		copies bool
-		sends  int
+		name           string
+		class          int
+		copies, silent bool
+		sends          int
 	}{
-		{"safe", safeClass, true, 2},
-		{"keyed, in its cell", keyedClass, true, 2},
-		{"unsafe", unsafeClass, true, 1},
-		{"not allowed", safeClass, false, 1},
+		{"safe", safeClass, true, true, 2},
+		{"keyed, in its cell", keyedClass, true, true, 2},
+		{"unsafe", unsafeClass, true, true, 1},
+		{"not allowed", safeClass, false, true, 1},
+		{"not silent", safeClass, true, false, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			set := testSettings()
-			set.TellsStart, set.Limits.SecondCopies = true, c.copies
+			set.TellsStart, set.Limits.SecondCopies, set.Progress = true, c.copies, 200*time.Millisecond
 			r := newRecorder(t, set)
 			r.members(Whole, fleet(4)...)
 			r.request(job(0, c.class))
-			r.pass(time.Second)
+			first := *r.last()
+			r.start(&first)
+			for range 10 {
+				r.pass(100 * time.Millisecond)
+				if !c.silent {
+					r.note(&first)
+				}
+			}
 			if len(r.sends) != c.sends {
 				t.Fatalf("%d sends, want %d", len(r.sends), c.sends)
 			}
+			if c.sends > 1 && r.last().w == first.w {
+				t.Error("the copy went to the silent worker")
+			}
 			r.end(r.last(), OK)
 			r.pass(6 * time.Second)
 			if got := r.reqs["r0"].final; got != "served" {
@@ -547,6 +559,49 @@
 	}
 }
 
+// Hazard: where a cancel stops nothing, copies of jobs that only wait make every wait longer, and every
+// longer wait makes more copies.
+func TestNoCopiesOfJobsThatOnlyWait(t *testing.T) {
+	set := testSettings()
+	set.TellsStart, set.Limits.SecondCopies, set.Progress = true, true, 200*time.Millisecond
+	r := newRecorder(t, set)
+	r.members(Whole, fleet(2)...)
+	for i := range 6 {
+		r.request(job(i, safeClass))
+	}
+	sent := len(r.sends)
+	for _, s := range slices.Clone(r.sends[:2]) {
+		r.start(&s)
+	}
+	for range 20 {
+		r.pass(100 * time.Millisecond)
+		for i := range 2 {
+			r.note(&r.sends[i])
+		}
+	}
+	if len(r.sends) != sent {
+		t.Errorf("%d copies of jobs that wait in a queue", len(r.sends)-sent)
+	}
+}
+
+// Hazard: a silent worker keeps its count and wins draws until its first attempt times out.
+func TestSilentWorkerIsNotDrawn(t *testing.T) {
+	set := testSettings()
+	set.TellsStart, set.Progress = true, 200*time.Millisecond
+	r := newRecorder(t, set)
+	r.members(Whole, fleet(4)...)
+	r.request(job(0, safeClass))
+	silent := r.last().w
+	r.start(r.last())
+	r.pass(time.Second)
+	for i := 1; i < 20; i++ {
+		r.request(job(i, safeClass))
+		if r.last().w == silent {
+			t.Fatal("a job went to a worker that has fallen silent")
+		}
+	}
+}
+
 // Hazard: where no report tells the slots of workers, one each is too few to judge by.
 func TestNoReportsNoNeedlessRefusals(t *testing.T) {
 	r := startsTold(t, 2)
@@ -1057,9 +1112,11 @@
 	for _, allowed := range []bool{true, false} {
 		set := testSettings()
 		set.TellsStart, set.Limits.SecondCopies, set.Limits.Cancel = true, true, allowed
+		set.Progress = 200 * time.Millisecond
 		r := newRecorder(t, set)
 		r.members(Whole, fleet(4)...)
 		r.request(job(0, safeClass))
+		r.start(r.last())
 		r.pass(time.Second) // a second copy goes out
 		if len(r.sends) != 2 {
 			t.Fatalf("%d copies are out, want 2", len(r.sends))
--- a/brain/recorder_test.go
+++ b/brain/recorder_test.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// note has a worker tell that it still works on an attempt.
+func (r *recorder) note(s *recSend) {
+	r.b.Progress(r.now, Note{ID: s.id, Attempt: s.attempt, Worker: s.w})
+}
+
 // pass lets time go by, with the timers that come due and the time-outs at deadlines.
 func (r *recorder) pass(d time.Duration) {
 	r.t.Helper()
--- a/brain/state.go
+++ b/brain/state.go
@@ -27,20 +27,22 @@
 // worker is what this dispatcher knows of one worker.
 type worker struct {
 	Worker
-	own    float64       // this dispatcher's unfinished jobs there
-	sent   []load        // what it was sent lately while cold
-	beside float64       // those of a process whose place this one has taken
-	others float64       // unfinished jobs of other dispatchers there, as reports tell
-	pace   float64       // its running times over those of its kind
-	wait   float64       // seconds that the last job to start there had waited
-	waitT  time.Duration // when that was
-	ill    float64       // how much it has failed lately, 0 to 1
-	illT   time.Duration // when ill was last brought up to date
-	stuck  float64       // seconds that the oldest job of ours there has waited to start
-	asked  time.Duration // when it was last probed
-	away   float64       // how far it is from home, in workers
-	owed   bool          // it was put back by hand, and has had no job since
-	full   bool          // its last report told of next to no free slots
+	own     float64       // this dispatcher's unfinished jobs there
+	sent    []load        // what it was sent lately while cold
+	beside  float64       // those of a process whose place this one has taken
+	others  float64       // unfinished jobs of other dispatchers there, as reports tell
+	pace    float64       // its running times over those of its kind
+	wait    float64       // seconds that the last job to start there had waited
+	waitT   time.Duration // when that was
+	ill     float64       // how much it has failed lately, 0 to 1
+	illT    time.Duration // when ill was last brought up to date
+	stuck   float64       // seconds that the oldest job of ours there has waited to start
+	asked   time.Duration // when it was last probed
+	heard   time.Duration // when it last told of a job of ours
+	running int           // jobs of ours there that are told to have started
+	away    float64       // how far it is from home, in workers
+	owed    bool          // it was put back by hand, and has had no job since
+	full    bool          // its last report told of next to no free slots
 }
 
 // attempt is one Send of a request.
@@ -294,6 +296,12 @@
 	}
 	t.unrun = b.proves(o.Result)
 	t.ended, t.w.stuck = true, 0
+	if t.start > 0 {
+		t.w.running--
+	}
+	if o.Result == OK || o.Result == Error || o.Result == Full {
+		t.w.heard = now // the others are no word of its own
+	}
 	q.out--
 	b.learn(now, q, t, &o)
 	t.w.own -= q.size()
@@ -315,10 +323,15 @@
 // Progress takes news of an attempt that is out.
 func (b *Balancer) Progress(now time.Duration, n Note) {
 	_, t := b.attempt(n.ID, n.Attempt)
-	if t == nil || !n.Started {
+	if t == nil || t.ended {
+		return
+	}
+	t.w.heard = now
+	if !n.Started || t.start > 0 {
 		return
 	}
 	t.start, t.w.stuck = now, 0
+	t.w.running++
 	t.w.wait, t.w.waitT = (now - t.sent).Seconds(), now
 	b.meets(now, t.w.wait)
 }
