--- a/brain/brain.go
+++ b/brain/brain.go
@@ -516,7 +516,7 @@
 		if !t.mayHaveRun() {
 			continue
 		}
-		// Hazard: this attempt may have run, or may be running: its effect could happen twice.
+		// Hazard: this attempt may have run, or runs: its effect could happen twice.
 		if c.Effect == Unsafe || c.Effect == Keyed && (now-t.sent >= c.Window || !sameGroup(c, t.w, w)) {
 			return false
 		}
@@ -703,15 +703,14 @@
 	}
 }
 
-// silent reports whether w has a job of ours that runs and has told nothing of it for long.
+// silent reports whether w runs a job of ours and has told nothing for long.
 func (b *Balancer) silent(now time.Duration, w *worker) bool {
 	return w.running > 0 && b.set.Progress > 0 && now-w.heard > quiet*b.set.Progress
 }
 
 // hedge sends a second copy of jobs that may be repeated and that are at a silent worker.
 //
-// Hazards: one that is gone ends nothing. A copy of a job that only waits takes the room of others, and
-// both run where a cancel stops nothing.
+// Hazard: a copy of a job that only waits takes the room of others, and both run if a cancel stops nothing.
 func (b *Balancer) hedge(now time.Duration) {
 	for _, q := range b.list {
 		if !q.over && q.out == 1 && q.class.Effect != Unsafe && b.silent(now, q.tries[len(q.tries)-1].w) {
@@ -751,8 +750,7 @@
 	}
 }
 
-// survey keeps the averages, which go back a warm-up. Hazard: to look at every worker in every sweep
-// costs more than all requests in a large fleet.
+// survey keeps the averages, which go back a warm-up. Hazard: each sweep looks at every worker of many.
 func (b *Balancer) survey(now time.Duration) {
 	past := max(b.set.Rules.Cold, time.Second)
 	if now < b.surveyed+past/64 {
