--- /dev/null
+++ b/internal/ratelimit/story_test.go
@@ -0,0 +1,429 @@
+package ratelimit
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"moorstack/internal/placement"
+	"moorstack/internal/rollout"
+)
+
+// A world of instances in virtual time, each with a front and an authority, whose messages are lost,
+// doubled, late and out of order; whose clocks have paces of their own; which stall, die, start anew, and
+// hear late of who is there. It stands for what package consensus promises of leases and views, and no more.
+type world struct {
+	t      testing.TB
+	rng    *rand.Rand
+	now    time.Duration
+	lease  time.Duration
+	things []thing // to come, by time
+	nodes  []*node
+	epoch  uint64
+	view   placement.View // as agreed last
+	index  uint64         // of that
+	log    []placement.View
+	policy Policy
+	spent  map[Key][]time.Duration
+	lossy  bool
+	quiet  bool
+	acts   int
+}
+
+type thing struct {
+	at time.Duration
+	do func()
+}
+
+type node struct {
+	w         *world
+	id        uint64
+	life      int
+	seat      placement.Seat
+	up        bool
+	stalled   time.Duration // until when
+	pace      float64
+	begun     time.Duration
+	front     *Front
+	authority *Authority
+	applied   int // views
+	until     time.Duration
+	cut       bool
+	slow      time.Duration // until when it gets no part of the log, though it is in touch
+}
+
+func (w *world) at(d time.Duration, f func()) {
+	x := thing{w.now + d, f}
+	i, _ := slices.BinarySearchFunc(w.things, x, func(a, b thing) int {
+		if a.at <= b.at {
+			return -1
+		}
+		return 1
+	})
+	w.things = slices.Insert(w.things, i, x)
+}
+
+// on runs something at a node, once it does not stand still, in the same life.
+func (n *node) on(d time.Duration, f func()) {
+	life := n.life
+	n.w.at(d, func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if n.stalled > n.w.now {
+			n.on(n.stalled-n.w.now, f)
+			return
+		}
+		f()
+	})
+}
+
+func (n *node) clock() time.Duration {
+	return time.Duration(float64(n.w.now-n.begun)*n.pace) + time.Hour
+}
+
+func (n *node) start() {
+	n.life++
+	n.up, n.stalled, n.until = true, 0, 0
+	n.begun = n.w.now - time.Duration(n.w.rng.Int64N(int64(time.Second)))
+	n.w.epoch++
+	n.seat = placement.Seat{Member: n.id, Epoch: n.w.epoch}
+	n.front, n.authority = NewFront(n.clock()), NewAuthority()
+	n.front.Configure(n.clock(), n.w.policy)
+	n.authority.Configure(n.clock(), n.w.policy)
+	n.applied = max(len(n.w.log)-1, 0) // a snapshot: earlier views are not told
+	n.tick()
+}
+
+func (n *node) tick() {
+	n.learn()
+	now := n.clock()
+	words := n.front.Tick(now)
+	for _, owner := range inOrder(words) {
+		asks := words[owner]
+		n.send(owner, func(to *node, from placement.Seat) {
+			if to.seat != owner {
+				return
+			}
+			for _, a := range asks {
+				to.authority.Hear(to.clock(), from, a)
+			}
+		})
+	}
+	if now < n.until {
+		answers := n.authority.Tick(now)
+		for _, seat := range inOrder(answers) {
+			grants := answers[seat]
+			n.send(seat, func(to *node, from placement.Seat) {
+				for _, g := range grants {
+					if to.seat == seat {
+						to.front.Granted(to.clock(), from, g)
+					}
+				}
+			})
+		}
+	}
+	n.on(n.w.policy.Tick, n.tick)
+}
+
+// inOrder gives the keys in an order that does not depend on the run.
+func inOrder[V any](m map[placement.Seat]V) []placement.Seat {
+	return slices.SortedFunc(maps.Keys(m), func(a, b placement.Seat) int {
+		return cmp.Or(cmp.Compare(a.Member, b.Member), cmp.Compare(a.Epoch, b.Epoch))
+	})
+}
+
+func (n *node) send(seat placement.Seat, f func(to *node, from placement.Seat)) {
+	w, from := n.w, n.seat
+	for _, to := range w.nodes {
+		if to.id != seat.Member {
+			continue
+		}
+		copies := 1
+		if w.lossy {
+			copies = []int{0, 1, 1, 1, 1, 1, 1, 1, 2}[w.rng.IntN(9)]
+		}
+		for range copies {
+			d := time.Duration(w.rng.Int64N(int64(5 * time.Millisecond)))
+			if w.lossy && w.rng.IntN(10) == 0 {
+				d = time.Duration(w.rng.Int64N(int64(4 * time.Second)))
+			}
+			if (n.cut || to.cut) && to != n {
+				continue
+			}
+			to.on(d, func() { f(to, from) })
+		}
+	}
+}
+
+// learn has a node apply views, and renew its lease by a leader that has applied all.
+func (n *node) learn() {
+	w := n.w
+	if n.cut {
+		return
+	}
+	upTo := len(w.log)
+	if w.now < n.slow {
+		return
+	}
+	if w.lossy && w.rng.IntN(4) == 0 && n.applied < upTo {
+		upTo = n.applied + w.rng.IntN(upTo-n.applied) // it lags
+	}
+	for ; n.applied < upTo; n.applied++ {
+		v := w.log[n.applied]
+		own := placement.Seat{}
+		for _, m := range v.Members {
+			if m.Seat == n.seat {
+				own = m.Seat
+			}
+		}
+		t := placement.Of(v)
+		n.front.View(n.clock(), t, own)
+		n.authority.View(n.clock(), t, own, w.lease, false)
+	}
+	if n.applied == len(w.log) && slices.ContainsFunc(w.view.Members, func(m placement.Member) bool {
+		return m.Seat == n.seat
+	}) {
+		n.until = n.clock() + w.lease // asked for now, of a leader that had applied as much
+	}
+}
+
+// agree makes a new view of who is up; one that dies or is cut leaves when its lease has surely run out.
+func (w *world) agree(members []placement.Member) {
+	w.view = placement.View{Number: uint64(len(w.log) + 1), Members: members}
+	slices.SortFunc(w.view.Members, func(a, b placement.Member) int { return int(a.Member) - int(b.Member) })
+	w.log = append(w.log, w.view)
+}
+
+func (w *world) join(n *node) {
+	rest := slices.DeleteFunc(slices.Clone(w.view.Members), func(m placement.Member) bool { return m.Member == n.id })
+	w.agree(append(rest, placement.Member{Seat: n.seat}))
+}
+
+func (w *world) leave(n *node) {
+	w.agree(slices.DeleteFunc(slices.Clone(w.view.Members), func(m placement.Member) bool { return m.Member == n.id }))
+}
+
+// call is a client's call at a front. A front admits only under a lease, as the gate has it.
+func (n *node) call(account, class string) bool {
+	w, now := n.w, n.clock()
+	if !n.up || n.stalled > w.now || now >= n.until {
+		return false
+	}
+	_, ok := n.front.Take(now, account, class)
+	if ok {
+		w.acts++
+		for _, k := range []Key{{Account: account}, {account, class}} {
+			if _, limited := w.policy.Of(k); limited {
+				w.spent[k] = append(w.spent[k], w.now)
+			}
+		}
+	}
+	return ok
+}
+
+// audit finds a window in which more was admitted than the limit allows, by owners' clocks that may run
+// so fast.
+func (w *world) audit(pace float64) string {
+	for k, times := range w.spent {
+		l, _ := w.policy.Of(k)
+		level, last := l.Burst, time.Duration(0)
+		for i, at := range times {
+			level = min(l.Burst, level+l.Rate*pace*(at-last).Seconds()) - 1
+			if last = at; level < -1e-6 {
+				return fmt.Sprintf("%v: admission %d at %v is beyond %v a second and %v at once", k, i, at, l.Rate,
+					l.Burst)
+			}
+		}
+	}
+	return ""
+}
+
+var section = map[string]string{"tick": "50ms", "term": "300ms", "default": "40/s burst=40",
+	"account a": "100/s burst=50", "account b": "20/s burst=10", "account c": "60/s burst=40 floor=0.5",
+	"account d": "10/s burst=12 floor=equal", "account a class x": "15/s burst=5"}
+
+func newWorld(t testing.TB, seed uint64, nodes int, faults bool) *world {
+	words := maps.Clone(section)
+	words["parts"] = fmt.Sprint(nodes)
+	p, wrong := ReadPolicy(words, []string{"x", "y"})
+	if len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), lease: 500 * time.Millisecond, policy: p,
+		spent: map[Key][]time.Duration{}}
+	for i := range nodes {
+		n := &node{w: w, id: uint64(i + 1), pace: 1}
+		w.nodes = append(w.nodes, n)
+		n.start()
+		w.join(n)
+	}
+	w.lossy = faults
+	return w
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.things) > 0 && w.things[0].at <= until {
+		x := w.things[0]
+		w.things = w.things[1:]
+		w.now = x.at
+		x.do()
+	}
+	w.now = until
+}
+
+// calls has clients call: each account mostly at one front, which changes, and now and then at all.
+func (w *world) calls(every time.Duration) {
+	var again func()
+	again = func() {
+		for i, account := range []string{"a", "b", "c", "d", "e"} {
+			// Each is quiet now and then, with what it has been lent.
+			if w.quiet && (w.now/(300*time.Millisecond)+3*time.Duration(i))%7 > 3 {
+				continue
+			}
+			n := w.nodes[(int(w.now/(700*time.Millisecond))+i)%len(w.nodes)]
+			if w.rng.IntN(3) == 0 {
+				n = w.nodes[w.rng.IntN(len(w.nodes))]
+			}
+			n.call(account, []string{"x", "y"}[w.rng.IntN(2)])
+		}
+		w.at(time.Duration(w.rng.Int64N(int64(2*every))), again)
+	}
+	again()
+}
+
+// fault is one that is drawn: a stall, a death, a cut, or one that leaves and joins by itself.
+func (w *world) fault() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	long := time.Duration(w.rng.Int64N(int64(3 * time.Second)))
+	// Whoever does not renew its lease is out of the view when that has surely run out.
+	lapse := func() {
+		seat := n.seat
+		w.at(rollout.Wait(w.lease), func() {
+			if slices.ContainsFunc(w.view.Members, func(m placement.Member) bool { return m.Seat == seat }) &&
+				(n.cut || !n.up || n.stalled > w.now) {
+				w.leave(n)
+			}
+		})
+	}
+	switch w.rng.IntN(6) {
+	case 0:
+		if n.up {
+			n.stalled = max(n.stalled, w.now+long)
+			lapse()
+			w.at(long, func() { w.back(n) })
+		}
+	case 1: // killed, and started again, perhaps sooner than its lease ends
+		if n.up {
+			n.up = false
+			lapse()
+			w.at(long/3, func() {
+				if !n.up {
+					n.cut = false
+					n.start()
+					w.join(n)
+				}
+			})
+		}
+	case 2:
+		if n.up && !n.cut {
+			n.cut = true
+			lapse()
+			w.at(long, func() {
+				n.cut = false
+				w.back(n)
+			})
+		}
+	case 4: // its log lags, and so its lease ends; it is in touch with the others
+		n.slow = max(n.slow, w.now+long)
+		if w.rng.IntN(2) == 0 && n.up && !n.cut && len(w.view.Members) > 1 {
+			w.leave(n)
+			w.at(long, func() { w.back(n) })
+		}
+	case 3, 5: // it is set aside, and comes back
+		if n.up && !n.cut && len(w.view.Members) > 1 {
+			w.leave(n)
+			w.at(long, func() { w.back(n) })
+		}
+	}
+}
+
+// back has a node that is well and in no view have a new session.
+func (w *world) back(n *node) {
+	if !n.up || n.cut || slices.ContainsFunc(w.view.Members, func(m placement.Member) bool { return m.Seat == n.seat }) {
+		return
+	}
+	w.epoch++
+	n.seat, n.until = placement.Seat{Member: n.id, Epoch: w.epoch}, 0
+	w.join(n)
+}
+
+func story(t testing.TB, seed uint64, nodes int, paces bool) (string, int) {
+	w := newWorld(t, seed, nodes, true)
+	most := 1.0
+	if paces {
+		for _, n := range w.nodes {
+			n.pace = 0.6 + 0.8*w.rng.Float64()
+			most = max(most, n.pace)
+		}
+	}
+	w.quiet = seed%3 == 0
+	w.calls(3 * time.Millisecond)
+	for at := 2 * time.Second; at < 20*time.Second; at += time.Duration(w.rng.Int64N(int64(1500*time.Millisecond))) {
+		w.at(at, w.fault)
+	}
+	w.run(22 * time.Second)
+	return w.audit(most), w.acts
+}
+
+// Whatever is lost, late or doubled, whoever stalls, dies or comes back: in no window is more admitted at
+// all fronts together than the rate and the burst.
+func TestStories(t *testing.T) {
+	stories := 60
+	if v, err := strconv.Atoi(os.Getenv("STORIES")); err == nil {
+		stories = v // for a longer look than a test run has time for
+	}
+	if testing.Short() {
+		stories = 10
+	}
+	acts := 0
+	for seed := range uint64(stories) {
+		broken, n := story(t, seed, 2+int(seed%4), seed%2 == 1)
+		if acts += n; broken != "" {
+			t.Errorf("seed %d: %s", seed, broken)
+		}
+	}
+	if acts < 500*stories {
+		t.Errorf("%d admissions in %d stories: too few to show anything", acts, stories)
+	}
+}
+
+// Whatever the paces of the three clocks, within what is promised: an owner lends nothing before the last
+// slice of the one before it has ended at its front.
+func TestWaitsAreLongEnough(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	p, _ := ReadPolicy(section, []string{"x"})
+	real := func(d time.Duration, pace float64) time.Duration { return time.Duration(float64(d) / pace) }
+	for _, before := range []float64{0.6, 1, 1.4} {
+		for _, front := range []float64{0.6, 1, 1.4} {
+			for _, after := range []float64{0.6, 1, 1.4} {
+				// The lease was asked for just before the shard went to another, and the last slice at its end.
+				end := real(lease, before) + real(p.Term, front)
+				a := NewAuthority()
+				a.Configure(0, p)
+				v := placement.View{Members: []placement.Member{{Seat: placement.Seat{Member: 1, Epoch: 1}}}}
+				a.View(0, placement.Of(v), v.Members[0].Seat, lease, false)
+				if from := real(a.free("a"), after); from < end {
+					t.Errorf("paces %v, %v, %v: lent from %v on, and the last slice ends at %v", before, front, after,
+						from, end)
+				}
+			}
+		}
+	}
+}
