Carry rates between instances: slices over the peers' streams, a gate, an audit of real processes

The section ratelimit of the agreed configuration says what accounts may send; a job's account is its tenant or a header's word (custom.account at the Faktory front). The runner tells each view of who is there and the instance's right: a lease that counts only where the state is as new as the leader's was. Fronts and authorities speak once a tick, in one message for each pair; an older program passes over it, and the section is refused until the group's format is 4, which it takes once all its programs know it.

--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -20,6 +20,7 @@
 	story, keep       string
 	rate              float64
 	changes, drills   int
+	accounts          int
 	shrink, quiet     bool
 	trace, kills      bool
 }
@@ -68,6 +69,7 @@
 	fl.StringVar(&f.story, "story", "", "play the story in this `file` instead")
 	fl.Float64Var(&f.rate, "rate", 20, "jobs a second at each instance; 0: none")
 	fl.IntVar(&f.changes, "changes", 0, "at most so many changes; 0: as many as there is time for")
+	fl.IntVar(&f.accounts, "accounts", 4, "how many accounts' rates are kept over all instances; 0 to 1000")
 	fl.IntVar(&f.drills, "duties", 3, "how many duties the instances hold, to practise; 0 to 100")
 	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
 	fl.BoolVar(&f.shrink, "shrink", false,
@@ -90,6 +92,8 @@
 		return fmt.Errorf("--tick: %v is not from 10ms to 5s", f.tick)
 	case f.changes < 0 || f.changes > 100_000:
 		return fmt.Errorf("--changes: %d is not from 1 to 100000", f.changes)
+	case f.accounts < 0 || f.accounts > 1000:
+		return fmt.Errorf("--accounts: %d is not from 0 to 1000", f.accounts)
 	case f.drills < 0 || f.drills > 100:
 		return fmt.Errorf("--duties: %d is not from 0 to 100", f.drills)
 	case f.rate < 0 || f.rate > 1000:
@@ -178,7 +182,7 @@
 	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self,
 		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
-		Seed: f.seed, Drills: f.drills}}
+		Seed: f.seed, Drills: f.drills, Accounts: f.accounts}}
 	if f.trace {
 		o.Trace = cmd.ErrOrStderr()
 	} else if terminal(os.Stderr) {
@@ -207,13 +211,14 @@
 	t.add(fmt.Sprintf("%d instances, %.1f s, %d faults; %d changes in force, %d withdrawn, %d calls repeated",
 		r.Instances, r.Seconds, r.Faults, r.InForce, r.Withdrawn, r.Repeats))
 	t.add(fmt.Sprintf(
-		"%d jobs sent: %d served, %d refused by sessions, %d refused, %d failed, %d without an answer",
-		r.Jobs.Sent, r.Jobs.Served, r.Jobs.Policy, r.Jobs.Refused, r.Jobs.Failed, r.Jobs.Lost))
+		"%d jobs sent: %d served, %d refused by sessions, %d by rates, %d else, %d failed, %d unanswered",
+		r.Jobs.Sent, r.Jobs.Served, r.Jobs.Policy, r.Jobs.Rates, r.Jobs.Refused, r.Jobs.Failed, r.Jobs.Lost))
 	t.add(fmt.Sprintf("%.0f messages a second between all instances at rest", r.Messages))
 	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs",
 		r.Back.Round(time.Millisecond)))
-	t.add(fmt.Sprintf("%d admissions and %d acts in duties audited, %d violations", r.Admitted, r.Acts,
-		len(r.Violations)))
+	t.add(fmt.Sprintf(
+		"%d admissions, %d of accounts (%.0f%% of their rates) and %d acts in duties audited, %d violations",
+		r.Admitted, r.Rated, 100*r.RateUse, r.Acts, len(r.Violations)))
 	for _, v := range r.Violations {
 		t.add("  " + v)
 	}
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -217,6 +217,12 @@
 	case c.Document == nil || !c.Document.finite():
 		return refuse(Invalid, "the document has a number that is none")
 	}
+	for name := range c.Document.Sections {
+		if s.format < since[name] {
+			return refuse(Invalid, fmt.Sprintf("section %s: an instance runs a program that knows nothing "+
+				"of it; renew it first", name))
+		}
+	}
 	b := c.Document.Encode()
 	if len(b) > MaxDocument {
 		return refuse(TooLarge, fmt.Sprintf("the document has %d bytes, %d are allowed", len(b), MaxDocument))
--- a/internal/consensus/duty.go
+++ b/internal/consensus/duty.go
@@ -44,8 +44,9 @@
 func (i *Instance) Labels(labels []string) { i.ses.duties.labels = labels }
 
 // granted takes a lease.
-func (i *Instance) granted(g rollout.Grant, index uint64) {
+func (i *Instance) granted(g rollout.Grant, index, applied uint64) {
 	i.ses.holder.Granted(g)
+	i.seatGranted(g, applied)
 	i.ses.duties.holder.Granted(g.Epoch, g.Asked, g.For, index, i.applied)
 }
 
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -127,6 +127,7 @@
 	Permit   *rollout.Permit     // whether the fronts may admit jobs, where that has changed
 	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
 	Duties   *[]duty.Held        // what this instance holds, where that has changed
+	Standing *Standing           // how it stands where something is owned by placement, likewise
 }
 
 // SessionMessage is a word on sessions to another instance.
--- /dev/null
+++ b/internal/consensus/placement.go
@@ -0,0 +1,78 @@
+package consensus
+
+import (
+	"time"
+
+	"moorstack/internal/placement"
+	"moorstack/internal/rollout"
+)
+
+// Standing is how an instance stands where something is owned by placement.
+type Standing struct {
+	// Views are those that have come to hold since the last word, in order. An owner must see each: one
+	// that it is left out of may have had another owner act.
+	Views []placement.View
+	// Skipped: before them there were others, which this instance was not told (a snapshot).
+	Skipped bool
+	Own     placement.Seat // the session that this instance has; the zero Seat: none
+	Until   time.Duration  // when its right to act on what it owns ends, on its clock
+	Lease   time.Duration  // how long any instance's lasts
+}
+
+// seats are an instance's part in what is owned by placement.
+type seats struct {
+	right placement.Right
+	views []placement.View // to be told
+	last  uint64           // number of the newest
+	gap   bool
+	told  Standing
+}
+
+// seat notes the view that holds after an entry of the log.
+//
+// Hazard: two entries may be applied in one turn, and the view between the two is one that another instance
+// may have acted by. So each is noted, and told.
+func (i *Instance) seat() {
+	s := i.state.Rollout()
+	v := placement.View{}
+	for _, x := range s.List() {
+		if x.Open && !x.Loose {
+			seat := placement.Seat{Member: x.Member, Epoch: x.Epoch}
+			v.Members = append(v.Members, placement.Member{Seat: seat, Name: x.Name})
+		}
+	}
+	v.Number = placement.NumberOf(s.Epoch, len(v.Members))
+	if p := &i.ses.seats; v.Number != p.last {
+		p.last = v.Number
+		p.views = append(p.views, v)
+	}
+}
+
+// reseat notes that views may have been passed over.
+func (i *Instance) reseat() {
+	p := &i.ses.seats
+	p.views, p.last, p.gap = nil, 0, true
+	i.seat()
+}
+
+// tellStanding tells how this instance stands, when that has changed.
+func (i *Instance) tellStanding() {
+	p := &i.ses.seats
+	p.right.Applied(i.applied)
+	now := Standing{Views: p.views, Skipped: p.gap, Lease: i.policy().Lease}
+	if epoch := i.ses.holder.Epoch(); epoch != 0 && !i.gone() {
+		now.Own = placement.Seat{Member: i.identity.Id, Epoch: epoch}
+		now.Until = p.right.Until(epoch, now.Lease)
+	}
+	same := now.Own == p.told.Own && now.Until == p.told.Until && now.Lease == p.told.Lease
+	if len(now.Views) == 0 && same {
+		return
+	}
+	p.views, p.gap, p.told = nil, false, now
+	i.out.Standing = &now
+}
+
+// seatGranted takes a lease from a leader that had applied the log so far.
+func (i *Instance) seatGranted(g rollout.Grant, applied uint64) {
+	i.ses.seats.right.Granted(g.Epoch, g.Asked, g.For, applied, i.applied)
+}
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -38,7 +38,7 @@
 
 func (e *Effects) empty() bool {
 	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil &&
-		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil
+		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil && e.Standing == nil
 }
 
 // save makes records of what must outlive the process. The order matters where the end of
@@ -90,6 +90,7 @@
 		i.state, i.conf = state, meta.GetConfState()
 		i.applied, i.imaged = meta.GetIndex(), meta.GetIndex()
 		i.appliedTerm = meta.GetTerm()
+		i.reseat()
 		i.tell()
 	}
 	if !raft.IsEmptyHardState(rd.HardState) {
@@ -171,6 +172,7 @@
 			i.outcome = append(i.outcome, outcome{c.ID, o})
 		}
 	}
+	i.seat()
 	i.tell()
 }
 
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -45,7 +45,10 @@
 	// Duties is told, on the same goroutine, what this instance holds, whenever that changes. It
 	// must not wait.
 	Duties func([]duty.Held)
-	Labels []string // what this instance has that duties ask for
+	// Standing is told, on the same goroutine, how this instance stands where something is owned by
+	// placement, whenever that changes. It must not wait.
+	Standing func(Standing)
+	Labels   []string // what this instance has that duties ask for
 }
 
 // Runner is an instance with a clock, a disk and a network. One goroutine drives it.
@@ -188,6 +191,9 @@
 	if e.Duties != nil && r.cfg.Duties != nil {
 		r.cfg.Duties(*e.Duties)
 	}
+	if e.Standing != nil && r.cfg.Standing != nil {
+		r.cfg.Standing(*e.Standing)
+	}
 	if e.Permit != nil && r.cfg.Permit != nil {
 		r.cfg.Permit(*e.Permit)
 	}
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -38,6 +38,7 @@
 	staging string // the change that the fronts have been asked to be ready for
 
 	duties duties
+	seats  seats
 }
 
 // Clock tells the time before an input: on a clock that goes on while the process, or the
@@ -92,7 +93,7 @@
 			return fmt.Errorf("a lease that was asked for in the time to come")
 		}
 		i.granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
-			For: time.Duration(g.ForNs)}, g.Index)
+			For: time.Duration(g.ForNs)}, g.Index, g.Applied)
 	}
 	i.sessions()
 	return nil
@@ -133,6 +134,7 @@
 		}
 		i.tellPermit()
 		i.tellDuties()
+		i.tellStanding()
 		i.stage()
 	})
 }
@@ -199,10 +201,10 @@
 			g := x.leader.Grant(x.now, r, i.state.Rollout(), i.policy())
 			index := i.dutiesFrom(member.ID)
 			if member.ID == i.identity.Id {
-				i.granted(g, index)
+				i.granted(g, index, i.applied)
 			} else {
 				i.say(member.ID, &schema.SessionMessage{Grant: &schema.SessionGrant{Epoch: g.Epoch,
-					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index}})
+					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index, Applied: i.applied}})
 			}
 		}
 		x.asked, x.read, x.index = nil, "", 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,12 +55,14 @@
 	ID     string
 	Class  int
 	Tenant int
-	Left   time.Duration // until the client gives up
-	Work   time.Duration
-	Slots  float64
-	Memory float64
-	Repeat bool
-	Job    any // what the front gives its next hops to work on
+	// Account is whose rate it counts against, where a front was told so; empty: nobody's by name.
+	Account string
+	Left    time.Duration // until the client gives up
+	Work    time.Duration
+	Slots   float64
+	Memory  float64
+	Repeat  bool
+	Job     any // what the front gives its next hops to work on
 
 	Route    brain.Route   // nil: any next hop
 	Attempts int           // within the class's; 0: as many
@@ -112,7 +114,7 @@
 // Gate stands before the module: it lets a transaction in, or refuses it at once. It picks no
 // worker and has no part in a final answer.
 type Gate interface {
-	Admit(id string) (Refusal, bool)
+	Admit(t *Transaction) (Refusal, bool)
 }
 
 // Refusal is a gate's busy answer.
@@ -228,7 +230,7 @@
 		return ErrKnown
 	}
 	if c.gate != nil {
-		if no, ok := c.gate.Admit(t.ID); !ok {
+		if no, ok := c.gate.Admit(&t); !ok {
 			client.Answer(Answer{Kind: Busy, RetryAfter: no.After, Why: no.Why})
 			return nil
 		}
--- a/internal/emulate/list_test.go
+++ b/internal/emulate/list_test.go
@@ -17,7 +17,8 @@
 					sc := small(seed)
 					sc.List, sc.DrainGrace, sc.Duration = list, Duration(grace), Duration(25*time.Second)
 					at := func(kind string, at, long time.Duration, part float64) {
-						sc.Troubles = append(sc.Troubles, Trouble{Kind: kind, At: Duration(at), For: Duration(long), Part: part})
+						sc.Troubles = append(sc.Troubles,
+							Trouble{Kind: kind, At: Duration(at), For: Duration(long), Part: part})
 					}
 					at("deaf", 2500*time.Millisecond, time.Second, 1)
 					at("drain", 2*time.Second, 8*time.Second, 0.3)
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -130,6 +130,7 @@
 	Custom     struct {
 		Deadline *float64 `json:"deadline"` // seconds that the producer waits
 		Tenant   string   `json:"tenant"`
+		Account  string   `json:"account"`
 		Cost     float64  `json:"cost"` // the expected work, in seconds
 		Slots    float64  `json:"slots"`
 	} `json:"custom"`
@@ -215,7 +216,7 @@
 	if j.Queue == "" {
 		j.Queue = "default"
 	}
-	t = core.Transaction{ID: j.JID, Class: -1, Job: j, Slots: j.Custom.Slots,
+	t = core.Transaction{ID: j.JID, Class: -1, Job: j, Slots: j.Custom.Slots, Account: j.Custom.Account,
 		Work: time.Duration(j.Custom.Cost * float64(time.Second))}
 	if class, ok := f.classes[j.Type]; ok {
 		t.Class = class
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -19,6 +19,7 @@
 	lease   time.Duration
 	refused atomic.Uint64
 	journal *os.File // what it admits, for audits; nil: none
+	rates   *rates   // nil: no rate is kept over all fronts
 }
 
 var _ core.Gate = (*gate)(nil)
@@ -29,14 +30,17 @@
 }
 
 // Admit implements core.Gate.
-func (g *gate) Admit(id string) (core.Refusal, bool) {
+func (g *gate) Admit(t *core.Transaction) (core.Refusal, bool) {
 	// Hazard: the process may have stood still for long, with this job in its buffers. The clock
 	// is read here and now, whatever any timer has said, and this moment is when the job is
 	// admitted or not.
 	now := consensus.Boottime()
 	if g.permit.May(now, g.running) {
+		if no, ok := g.rates.take(now, t); !ok {
+			return no, false
+		}
 		if g.journal != nil {
-			fmt.Fprintf(g.journal, "%d admit %d %s\n", now, g.running, id)
+			fmt.Fprintf(g.journal, "%d admit %d %s\n", now, g.running, t.ID)
 		}
 		return core.Refusal{}, true
 	}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -21,6 +21,7 @@
 	"moorstack/internal/duty"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
+	"moorstack/internal/ratelimit"
 	"moorstack/internal/rollout"
 	"moorstack/internal/routing"
 	"moorstack/internal/schema"
@@ -46,6 +47,7 @@
 	gate    *gate
 	keeper  *keeper
 	lists   *hub
+	rates   *rates
 
 	mu      sync.Mutex
 	running uint64
@@ -85,7 +87,8 @@
 func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
-	i.keeper = newKeeper(i)
+	i.keeper, i.rates = newKeeper(i), newRates(i)
+	i.gate.rates = i.rates
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
 	}
@@ -133,7 +136,8 @@
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: func(r agreement.Revision) { offer(i.latest, r) },
 		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted,
-		Duties: func(held []duty.Held) { i.keeper.tell(held) }, Labels: cfg.labels()})
+		Duties:   func(held []duty.Held) { i.keeper.tell(held) },
+		Standing: func(s consensus.Standing) { i.rates.stands(s) }, Labels: cfg.labels()})
 	if err != nil {
 		return err
 	}
@@ -151,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	i.rates.open()
 	// What was agreed on last is what the fronts run. They admit nothing under it before the group
 	// has said that it is in force still.
 	if r, ok := i.runner.Agreed(); ok {
@@ -160,6 +165,7 @@
 	}
 	i.lists = newHub(i)
 	i.network.TellLists(i.lists.tell)
+	i.network.TakeRates(i.rates.heard)
 	i.node.Ending = func() { go i.keeper.leave() }
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
@@ -308,7 +314,9 @@
 		t, err = i.termsOf(r.Document)
 	}
 	if err == nil {
+		limits := limitsOf(r.Document)
 		t.Revision = func() {
+			i.rates.configure(limits)
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
@@ -342,7 +350,8 @@
 // Rules are what all instances check documents by. Zones and kinds are each instance's
 // own, and not checked here.
 func Rules() agreement.Rules {
-	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes}}
+	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes,
+		ratelimit.Section: checkRates}}
 }
 
 func checkRoutes(d *agreement.Document, values map[string]string) []string {
@@ -539,5 +548,6 @@
 		c[name] = n
 	}
 	c["jobs_refused_by_sessions"] = i.gate.refused.Load()
+	c["jobs_refused_by_rates"] = i.rates.refused.Load()
 	return c
 }
--- /dev/null
+++ b/internal/node/rates.go
@@ -0,0 +1,271 @@
+package node
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+	"moorstack/internal/placement"
+	"moorstack/internal/ratelimit"
+	"moorstack/internal/schema"
+)
+
+// rates are an instance's part in keeping accounts' rates over all fronts. All but refused belongs to the
+// node's loop: a job is admitted, and a slice lent, in the turn in which the clock was read.
+type rates struct {
+	i         *Instance
+	log       logrus.FieldLogger
+	front     *ratelimit.Front
+	authority *ratelimit.Authority
+	table     *placement.Table
+	standing  consensus.Standing
+	own       placement.Seat // as it was when the table was told
+	timer     *net.Timer
+	refused   atomic.Uint64
+	since     map[ratelimit.Key]uint64 // refused since the last line of the log
+	logged    time.Duration
+}
+
+// longestName is how much of an account's name counts.
+const longestName = 128
+
+// logEvery is the time between two lines on refusals, and mostNamed how many accounts are counted for it.
+const (
+	logEvery  = 10 * time.Second
+	mostNamed = 1000
+)
+
+func newRates(i *Instance) *rates {
+	return &rates{i: i, log: i.log.WithField("part", "rates"), authority: ratelimit.NewAuthority(),
+		front: ratelimit.NewFront(consensus.Boottime()), since: map[ratelimit.Key]uint64{}}
+}
+
+func (r *rates) open() {
+	r.log = r.i.log.WithField("part", "rates")
+}
+
+// limitsOf is what a document says of rates. It has been validated.
+func limitsOf(d *agreement.Document) ratelimit.Policy {
+	p, _ := ratelimit.ReadPolicy(d.Sections[ratelimit.Section], classesOf(d))
+	return p
+}
+
+func classesOf(d *agreement.Document) []string {
+	var names []string
+	for _, c := range d.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func checkRates(d *agreement.Document, values map[string]string) []string {
+	p, wrong := ratelimit.ReadPolicy(values, classesOf(d))
+	if len(wrong) > 0 || p.Account != ratelimit.Tenant {
+		return wrong
+	}
+	tenants := map[string]bool{}
+	for _, t := range d.Tenants {
+		tenants[t.Name] = true
+	}
+	unknown := func(account string) {
+		if !tenants[account] {
+			wrong = append(wrong, fmt.Sprintf("account %s: there is no tenant of that name, and accounts "+
+				"are tenants; name a header with account = \"X-Account\", or the tenant", account))
+		}
+	}
+	for account := range p.Accounts {
+		unknown(account)
+	}
+	for k := range p.Classes {
+		unknown(k.Account)
+	}
+	return wrong
+}
+
+// configure takes over what the configuration in force says, in the turn in which the fronts run it.
+func (r *rates) configure(p ratelimit.Policy) {
+	now := consensus.Boottime()
+	if p.Version == r.front.Policy().Version {
+		return
+	}
+	r.front.Configure(now, p)
+	r.authority.Configure(now, p)
+	header := ""
+	if p.Version != 0 && p.Account != ratelimit.Tenant {
+		header = p.Account
+	}
+	r.i.node.front.SetAccount(header)
+	r.i.gate.note("rates %d", p.Version)
+	r.timer.Stop()
+	if p.Version != 0 {
+		r.log.WithFields(logrus.Fields{"accounts": len(p.Accounts), "tick": p.Tick, "term": p.Term}).
+			Info("accounts' rates are kept over all fronts")
+		r.timer = r.i.node.loop.After(p.Tick, r.tick)
+	}
+}
+
+// stands takes the agreement's word on who is there. It is called on the runner's goroutine.
+func (r *rates) stands(s consensus.Standing) {
+	tables := make([]*placement.Table, len(s.Views))
+	for n, v := range s.Views {
+		tables[n] = placement.Of(v)
+	}
+	r.i.node.loop.Post(func() {
+		now := consensus.Boottime()
+		skipped := s.Skipped
+		for _, t := range tables {
+			r.view(now, t, s, skipped)
+			skipped = false
+		}
+		if len(tables) == 0 && s.Own != r.own && r.table != nil {
+			r.view(now, r.table, s, false)
+		}
+		r.standing = s
+	})
+}
+
+func (r *rates) view(now time.Duration, t *placement.Table, s consensus.Standing, skipped bool) {
+	own := placement.Seat{}
+	for _, m := range t.View.Members {
+		if m.Seat == s.Own {
+			own = s.Own
+		}
+	}
+	r.table, r.own = t, s.Own
+	r.front.View(now, t, own)
+	r.authority.View(now, t, own, s.Lease, skipped)
+	r.i.gate.note("view %d %d", t.View.Number, len(t.View.Members))
+}
+
+// take admits a job by its account's rate, or says when to come back.
+func (r *rates) take(now time.Duration, t *core.Transaction) (core.Refusal, bool) {
+	if !r.front.Limited() {
+		return core.Refusal{}, true
+	}
+	account, class := t.Account, r.i.names.Classes[t.Class]
+	if r.front.Policy().Account == ratelimit.Tenant {
+		if account = ""; t.Tenant < len(r.i.names.Tenants) {
+			account = r.i.names.Tenants[t.Tenant]
+		}
+	}
+	if len(account) > longestName {
+		account = account[:longestName] // a name is no place to keep things
+	}
+	no, ok := r.front.Take(now, account, class)
+	if ok {
+		if r.i.gate.journal != nil {
+			fmt.Fprintf(r.i.gate.journal, "%d rate %q %q\n", now, account, class)
+		}
+		return core.Refusal{}, true
+	}
+	r.refused.Add(1)
+	if len(r.since) < mostNamed || r.since[no.Key] > 0 {
+		r.since[no.Key]++
+	}
+	return core.Refusal{Why: fmt.Sprintf("account %q has used its rate", no.Key), After: no.After}, false
+}
+
+// tick says what is to be said of slices.
+//
+// Hazard: the process may have stood still before this turn. The right is looked at with the clock as it is
+// now, and what goes out ends at its front by a time that the front read itself.
+func (r *rates) tick() {
+	p := r.front.Policy()
+	r.timer = r.i.node.loop.After(p.Tick, r.tick)
+	now := consensus.Boottime()
+	for seat, asks := range r.front.Tick(now) {
+		if seat == r.own {
+			for _, a := range asks {
+				r.authority.Hear(now, seat, a)
+			}
+			continue
+		}
+		m := r.message(seat)
+		for _, a := range asks {
+			m.Asks = append(m.Asks, &schema.RateAsk{Account: a.Account, Class: a.Class, Report: a.Report,
+				Acked: a.Acked, Kept: uint64(a.Kept), Back: uint64(a.Back), Want: uint64(a.Want),
+				AskedNs: int64(a.Asked)})
+		}
+		r.send(seat, m)
+	}
+	if now < r.standing.Until {
+		for seat, grants := range r.authority.Tick(now) {
+			if seat == r.own {
+				for _, g := range grants {
+					r.front.Granted(now, seat, g)
+				}
+				continue
+			}
+			m := r.message(seat)
+			for _, g := range grants {
+				m.Grants = append(m.Grants, &schema.RateGrant{Account: g.Account, Class: g.Class,
+					Report: g.Report, Seq: g.Seq, Jobs: uint64(g.Jobs), AskedNs: int64(g.Asked)})
+			}
+			r.send(seat, m)
+		}
+	}
+	if len(r.since) > 0 && now-r.logged > logEvery {
+		r.tellRefused(now)
+	}
+}
+
+// tellRefused writes a line on who was refused most.
+func (r *rates) tellRefused(now time.Duration) {
+	var most ratelimit.Key
+	sum := uint64(0)
+	for k, n := range r.since {
+		if sum += n; n > r.since[most] {
+			most = k
+		}
+	}
+	r.log.WithFields(logrus.Fields{"refused": sum, "accounts": len(r.since), "most": most.String(),
+		"of_it": r.since[most]}).Info("jobs are refused: accounts have used their rates")
+	clear(r.since)
+	r.logged = now
+}
+
+func (r *rates) message(to placement.Seat) *schema.RateMessage {
+	return &schema.RateMessage{Version: r.front.Policy().Version, FromEpoch: r.own.Epoch, ToEpoch: to.Epoch}
+}
+
+func (r *rates) send(to placement.Seat, m *schema.RateMessage) {
+	for _, x := range r.i.runner.Status().Members {
+		if x.ID == to.Member {
+			to := agreement.Member{ID: x.ID, Name: x.Name, Address: x.Address}
+			r.i.network.SendSession(to, &schema.SessionMessage{Rate: m})
+			return
+		}
+	}
+}
+
+// heard takes another instance's word. It is called on a goroutine of the peers' network.
+func (r *rates) heard(from uint64, m *schema.RateMessage) {
+	r.i.node.loop.Post(func() {
+		// Hazards: words on another configuration's buckets, and words from or for a session that is no more.
+		if m.Version != r.front.Policy().Version || m.Version == 0 || m.ToEpoch != r.own.Epoch {
+			return
+		}
+		now, seat := consensus.Boottime(), placement.Seat{Member: from, Epoch: m.FromEpoch}
+		for _, a := range m.Asks {
+			if most := uint64(1 << 40); a.Kept > most || a.Back > most || a.Want > most {
+				continue // no front has so much
+			}
+			r.authority.Hear(now, seat, ratelimit.Ask{Key: ratelimit.Key{Account: a.Account, Class: a.Class},
+				Report: a.Report, Acked: a.Acked, Kept: int(a.Kept), Back: int(a.Back), Want: int(a.Want),
+				Asked: time.Duration(a.AskedNs)})
+		}
+		for _, g := range m.Grants {
+			if g.AskedNs > int64(now) || g.Jobs > 1<<40 {
+				continue // what was asked for in the time to come
+			}
+			r.front.Granted(now, seat, ratelimit.Grant{Key: ratelimit.Key{Account: g.Account, Class: g.Class},
+				Report: g.Report, Seq: g.Seq, Jobs: int(g.Jobs), Asked: time.Duration(g.AskedNs)})
+		}
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,6 +47,8 @@
 	from    string // the address that it calls from; empty: any
 
 	runner *consensus.Runner
+	// rates takes another instance's word on slices; nil: nobody does.
+	rates func(from uint64, m *schema.RateMessage)
 	// lists tells discovery's list to a caller; nil: this instance keeps none.
 	lists func(context.Context, func(*schema.ListNews) error) error
 
@@ -125,6 +127,9 @@
 	l.put(outgoing{session: m, to: to.ID})
 }
 
+// TakeRates has this function take others' words on slices. It must be called before Serve.
+func (n *Network) TakeRates(take func(from uint64, m *schema.RateMessage)) { n.rates = take }
+
 func (l *link) put(o outgoing) {
 	size := o.size()
 	if l.bytes.Add(size) > maxQueuedBytes {
@@ -381,6 +386,12 @@
 		return refuse(codes.PermissionDenied, removed)
 	}
 	from := agreement.Member{ID: e.From, Name: e.FromName, Address: e.FromAddress}
+	if e.Session != nil && e.Session.Rate != nil {
+		if n.rates != nil {
+			n.rates(e.From, e.Session.Rate)
+		}
+		return nil
+	}
 	if e.Session != nil || st.Rollout.Format < agreement.Format {
 		n.runner.DeliverSession(from, e.Session, e.Format)
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -175,7 +175,8 @@
 	}
 	for i, l := range s.Instances {
 		if l.ID == "" || l.Address == "" && lifecycles[l.Lifecycle] != brain.Removed {
-			return nil, fmt.Errorf("generation %d: instance %d has no instanceId or no hostPort", s.Generation, i)
+			return nil, fmt.Errorf("generation %d: instance %d has no instanceId or no hostPort",
+				s.Generation, i)
 		}
 	}
 	return s, nil
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -44,7 +44,8 @@
 
 func newDirectory(f *Front) *directory {
 	s := &f.cfg.Settings
-	return &directory{front: f, polls: map[*call]struct{}{}, told: roster.Told{Generation: f.cfg.Known.Generation},
+	return &directory{front: f, polls: map[*call]struct{}{},
+		told: roster.Told{Generation: f.cfg.Known.Generation},
 		rules: roster.Rules{Pushed: s.MembershipMode == "pushed", Grace: time.Duration(s.Contract.DrainGrace),
 			Me: s.Me, Fleet: s.Fleet}}
 }
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -53,8 +53,9 @@
 func (a *agent) turn(state string) { a.do(func() { a.state, a.gen = state, a.gen+1 }) }
 
 func (a *agent) list() string {
-	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.9:9",`+
-		`"zone":"z","machineType":"k","cell":1,"lifecycle":%q,"weight":1,"startedAtMs":0}]}`, a.gen, a.state)
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1",`+
+		`"hostPort":"127.0.0.9:9","zone":"z","machineType":"k","cell":1,"lifecycle":%q,"weight":1,`+
+		`"startedAtMs":0}]}`, a.gen, a.state)
 }
 
 func (a *agent) serve(w http.ResponseWriter, r *http.Request) {
@@ -151,9 +152,10 @@
 func (b beats) At(at time.Duration, f func()) core.Timer { return b.loop.At(at, f) }
 
 func configOf(t *testing.T, file, mode string, a *agent) *Config {
-	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,"settings":{`+
-		`"fleet_size":1,"kinds":["k"],"zones":["z"],"membership_mode":%q,"classes":[{"name":"c","effect":"retryable",`+
-		`"give_up":5000000000,"slo":4000000000}],"contract":{"drain_grace":%d,"ask_every":10000000000}}}`,
+	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,`+
+		`"settings":{"fleet_size":1,"kinds":["k"],"zones":["z"],"membership_mode":%q,`+
+		`"classes":[{"name":"c","effect":"retryable","give_up":5000000000,"slo":4000000000}],`+
+		`"contract":{"drain_grace":%d,"ask_every":10000000000}}}`,
 		a.Listener.Addr(), a.list(), mode, grace.Nanoseconds())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -40,6 +40,7 @@
 	drain    drain.Drain
 	ends     time.Duration // when the process was asked to end
 	counts   figures.Counts
+	account  string         // the header that names a job's account; empty: none does
 	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
 	brokeAt  time.Duration // when a kept connection to a next hop last broke under a request
@@ -86,6 +87,9 @@
 // SetRoutes has jobs go by these rules, from the next one on; nil: by none.
 func (f *Front) SetRoutes(t *routing.Table) { f.routes = t }
 
+// SetAccount has jobs be of the account that this header names; empty: of none.
+func (f *Front) SetAccount(header string) { f.account = header }
+
 func (f *Front) accept(c *net.Conn) {
 	cl := &client{front: f, conn: c, opened: f.loop.Now()}
 	f.clients[cl] = struct{}{}
@@ -280,6 +284,9 @@
 		t.Work = time.Duration(us * float64(time.Microsecond))
 	}
 	t.Repeat = m.Get("X-Retried") == "1"
+	if f.account != "" {
+		t.Account = m.Get(f.account)
+	}
 	for attr := range strings.SplitSeq(m.Get("X-Attrs"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(attr), "=")
 		v, err := strconv.ParseFloat(value, 64)
--- a/internal/ratelimit/authority.go
+++ b/internal/ratelimit/authority.go
@@ -83,7 +83,8 @@
 // Hazard: an earlier owner may have lent all there is a moment before it lost the shard, and may go on to
 // until its lease has surely run out. A shard that comes to us is lent from only when the last such slice has
 // surely run out, whatever the clocks' paces are.
-func (a *Authority) View(now time.Duration, t *placement.Table, own placement.Seat, lease time.Duration, skipped bool) {
+func (a *Authority) View(now time.Duration, t *placement.Table, own placement.Seat, lease time.Duration,
+	skipped bool) {
 	same := own == a.own && !skipped
 	// Hazard: the configuration may name a shorter lease now than when an earlier owner's was granted.
 	a.own, a.lease = own, max(a.lease, lease)
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -174,7 +174,8 @@
 // holds says whether a wallet has one job left.
 func (f *Front) holds(now time.Duration, w *wallet) bool {
 	if f.has && w.limit.Floor > 0 {
-		w.floor = min(f.policy.floorBurst(w.limit), w.floor+f.policy.floorRate(w.limit)*(now-w.floorAt).Seconds())
+		more := f.policy.floorRate(w.limit) * (now - w.floorAt).Seconds()
+		w.floor = min(f.policy.floorBurst(w.limit), w.floor+more)
 		w.floorAt = now
 	} else {
 		w.floor = 0
--- a/internal/ratelimit/policy.go
+++ b/internal/ratelimit/policy.go
@@ -46,7 +46,7 @@
 	if k.Class == "" {
 		return k.Account
 	}
-	return k.Account + " class " + k.Class
+	return k.Account + "@" + k.Class
 }
 
 // Of is the limit of a key, if it has one.
@@ -114,16 +114,16 @@
 				continue
 			}
 			p.Parts = n
-		case key == "default", strings.HasPrefix(key, "account "):
+		case key == "default", strings.HasPrefix(key, "account."):
 			limits[key] = text
 		default:
-			bad("%q is no key of this section; account, tick, term, parts, default, \"account NAME\" and "+
-				"\"account NAME class CLASS\" are", key)
+			bad("%q is no key of this section; account, tick, term, parts, default, \"account.NAME\" and "+
+				"\"account.NAME@CLASS\" are", key)
 		}
 	}
 	if len(wrong) == 0 && p.Term < 5*p.Tick {
-		bad("term: %v is less than 5 ticks of %v: slices would run out between two words on them; name a longer "+
-			"term or a shorter tick", p.Term, p.Tick)
+		bad("term: %v is less than 5 ticks of %v: slices would run out between two words on them; name a "+
+			"longer term or a shorter tick", p.Term, p.Tick)
 	}
 	p.Version = max(hash.Sum64(), 1)
 	for _, key := range slices.Sorted(maps.Keys(limits)) {
@@ -132,7 +132,7 @@
 			bad("%s: %q: %v", key, limits[key], err)
 			continue
 		}
-		account, class, ofClass := strings.Cut(strings.TrimPrefix(key, "account "), " class ")
+		account, class, ofClass := strings.Cut(strings.TrimPrefix(key, "account."), "@")
 		switch {
 		case key == "default":
 			if limits[key] != "none" {
@@ -192,8 +192,9 @@
 		}
 	}
 	if need := float64(p.Parts) * p.floorBurst(l); need > l.Burst {
-		return l, fmt.Errorf("the floors of %d parts are a job each at the least, %.0f in all, and the burst is "+
-			"%.0f; name burst=%.0f or more, floor=none, or fewer parts", p.Parts, need, l.Burst, need)
+		return l, fmt.Errorf("the floors of %d parts are a job each at the least, %.0f in all, and the "+
+			"burst is %.0f; name burst=%.0f or more, floor=none, or fewer parts",
+			p.Parts, need, l.Burst, need)
 	}
 	return l, nil
 }
--- a/internal/ratelimit/story_test.go
+++ b/internal/ratelimit/story_test.go
@@ -187,9 +187,7 @@
 		n.front.View(n.clock(), t, own)
 		n.authority.View(n.clock(), t, own, w.lease, false)
 	}
-	if n.applied == len(w.log) && slices.ContainsFunc(w.view.Members, func(m placement.Member) bool {
-		return m.Seat == n.seat
-	}) {
+	if n.applied == len(w.log) && w.seated(n) {
 		n.until = n.clock() + w.lease // asked for now, of a leader that had applied as much
 	}
 }
@@ -202,12 +200,21 @@
 }
 
 func (w *world) join(n *node) {
-	rest := slices.DeleteFunc(slices.Clone(w.view.Members), func(m placement.Member) bool { return m.Member == n.id })
-	w.agree(append(rest, placement.Member{Seat: n.seat}))
+	w.agree(append(w.others(n), placement.Member{Seat: n.seat}))
+}
+
+func (w *world) others(n *node) []placement.Member {
+	is := func(m placement.Member) bool { return m.Member == n.id }
+	return slices.DeleteFunc(slices.Clone(w.view.Members), is)
+}
+
+// seated says whether a node's session is in the view that was agreed last.
+func (w *world) seated(n *node) bool {
+	return slices.ContainsFunc(w.view.Members, func(m placement.Member) bool { return m.Seat == n.seat })
 }
 
 func (w *world) leave(n *node) {
-	w.agree(slices.DeleteFunc(slices.Clone(w.view.Members), func(m placement.Member) bool { return m.Member == n.id }))
+	w.agree(w.others(n))
 }
 
 // call is a client's call at a front. A front admits only under a lease, as the gate has it.
@@ -237,8 +244,8 @@
 		for i, at := range times {
 			level = min(l.Burst, level+l.Rate*pace*(at-last).Seconds()) - 1
 			if last = at; level < -1e-6 {
-				return fmt.Sprintf("%v: admission %d at %v is beyond %v a second and %v at once", k, i, at, l.Rate,
-					l.Burst)
+				return fmt.Sprintf("%v: admission %d at %v is beyond %v a second and %v at once", k, i, at,
+					l.Rate, l.Burst)
 			}
 		}
 	}
@@ -246,8 +253,8 @@
 }
 
 var section = map[string]string{"tick": "50ms", "term": "300ms", "default": "40/s burst=40",
-	"account a": "100/s burst=50", "account b": "20/s burst=10", "account c": "60/s burst=40 floor=0.5",
-	"account d": "10/s burst=12 floor=equal", "account a class x": "15/s burst=5"}
+	"account.a": "100/s burst=50", "account.b": "20/s burst=10", "account.c": "60/s burst=40 floor=0.5",
+	"account.d": "10/s burst=12 floor=equal", "account.a@x": "15/s burst=5"}
 
 func newWorld(t testing.TB, seed uint64, nodes int, faults bool) *world {
 	words := maps.Clone(section)
@@ -356,7 +363,7 @@
 
 // back has a node that is well and in no view have a new session.
 func (w *world) back(n *node) {
-	if !n.up || n.cut || slices.ContainsFunc(w.view.Members, func(m placement.Member) bool { return m.Seat == n.seat }) {
+	if !n.up || n.cut || w.seated(n) {
 		return
 	}
 	w.epoch++
@@ -375,8 +382,9 @@
 	}
 	w.quiet = seed%3 == 0
 	w.calls(3 * time.Millisecond)
-	for at := 2 * time.Second; at < 20*time.Second; at += time.Duration(w.rng.Int64N(int64(1500*time.Millisecond))) {
+	for at := 2 * time.Second; at < 20*time.Second; {
 		w.at(at, w.fault)
+		at += time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond)))
 	}
 	w.run(22 * time.Second)
 	return w.audit(most), w.acts
@@ -413,15 +421,15 @@
 	for _, before := range []float64{0.6, 1, 1.4} {
 		for _, front := range []float64{0.6, 1, 1.4} {
 			for _, after := range []float64{0.6, 1, 1.4} {
-				// The lease was asked for just before the shard went to another, and the last slice at its end.
+				// The lease was asked for just before the shard went to another, the last slice at its end.
 				end := real(lease, before) + real(p.Term, front)
 				a := NewAuthority()
 				a.Configure(0, p)
 				v := placement.View{Members: []placement.Member{{Seat: placement.Seat{Member: 1, Epoch: 1}}}}
 				a.View(0, placement.Of(v), v.Members[0].Seat, lease, false)
 				if from := real(a.free("a"), after); from < end {
-					t.Errorf("paces %v, %v, %v: lent from %v on, and the last slice ends at %v", before, front, after,
-						from, end)
+					t.Errorf("paces %v, %v, %v: lent from %v on, the last slice ends at %v", before, front,
+						after, from, end)
 				}
 			}
 		}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -42,6 +42,7 @@
 	Rate      float64 // jobs a second at each instance; 0: none, and no workers
 	Seed      uint64
 	Drills    int // duties to practise with
+	Accounts  int // whose rates are kept over all instances; 0: none
 }
 
 // Process is an instance's process.
--- a/internal/rig/jobs.go
+++ b/internal/rig/jobs.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +16,7 @@
 type Jobs struct {
 	Sent     int `json:"sent"`
 	Served   int `json:"served"`
+	Rates    int `json:"refused_by_rates"`    // an account had used its rate
 	Policy   int `json:"refused_by_sessions"` // while a change took hold, or without a lease
 	Refused  int `json:"refused"`
 	Failed   int `json:"failed"`
@@ -61,6 +64,14 @@
 		"X-Tenant-Id": "muscat", "X-Timeout": "5000m", "X-Cost": "2000"} {
 		req.Header.Set(k, v)
 	}
+	if f.o.Accounts > 0 {
+		// Each account's calls come in at all instances, and for a second at a time mostly at one.
+		n := rand.IntN(f.o.Accounts)
+		if second := int(time.Now().Unix()); rand.IntN(2) == 0 {
+			n = (second + slices.Index(f.List, p)) % f.o.Accounts
+		}
+		req.Header.Set("X-Account", fmt.Sprintf("acct-%d", n))
+	}
 	resp, err := client.Do(req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
@@ -77,7 +88,9 @@
 		if resp.Header.Get("Retry-After") == "" {
 			into.Unsaid++
 		}
-		if resp.Header.Get("X-Refusal") != "" {
+		if strings.Contains(resp.Header.Get("X-Refusal"), "has used its rate") {
+			into.Rates++
+		} else if resp.Header.Get("X-Refusal") != "" {
 			into.Policy++
 		} else {
 			into.Refused++
--- /dev/null
+++ b/internal/rig/rates.go
@@ -0,0 +1,123 @@
+package rig
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"moorstack/internal/ratelimit"
+)
+
+// rateWords is the section on rates that the rig agrees on: as many accounts as wanted, of small and of
+// larger rates, with and without floors. Every second set has lower ones, so that rates are lowered while
+// slices are out, and raised again.
+func rateWords(accounts, instances, set int) map[string]string {
+	words := map[string]string{"account": "X-Account", "tick": "50ms", "term": "500ms",
+		"parts": strconv.Itoa(instances), "default": "25/s burst=10"}
+	for n := range accounts {
+		rate, burst := 10+20*(n%3), 4*instances
+		if set%2 == 1 {
+			rate, burst = rate/2, burst/2
+		}
+		floor := []string{"none", "0.3", "none", "equal"}[n%4]
+		words[fmt.Sprintf("account.acct-%d", n)] = fmt.Sprintf("%d/s burst=%d floor=%s", rate, burst, floor)
+	}
+	if accounts > 1 {
+		words["account.acct-1@trip-quote"] = fmt.Sprintf("%d/s burst=%d", 12+set%2, 2*instances)
+	}
+	return words
+}
+
+// rated is what an audit of rates has found.
+type rated struct {
+	broken   []string
+	admitted int
+	// use is the part of what the accounts' rates allow that was admitted, from each one's first admission to
+	// its last.
+	use float64
+}
+
+// auditRates looks, for each bucket, for a window in which more was admitted at all instances together than
+// the rate and the burst allow: what a bucket that each admission takes a job from does not have.
+//
+// Instances say by which words on rates they admit. A rate that is changed is another bucket: no instance
+// admits under one configuration after another has under a later one, which auditPolicies looks at.
+func auditRates(all []entry, policies map[uint64]ratelimit.Policy) (r rated) {
+	type bucket struct {
+		version uint64
+		ratelimit.Key
+	}
+	type level struct {
+		jobs        float64
+		at, first   time.Duration
+		n           int
+		limit       ratelimit.Limit
+		seen, wrong bool
+	}
+	runs := map[string]uint64{}
+	levels := map[bucket]*level{}
+	take := func(e entry, b bucket) {
+		p, known := policies[b.version]
+		if !known {
+			r.broken = append(r.broken,
+				fmt.Sprintf("%s admits by words on rates that nobody has agreed on", e.who))
+			return
+		}
+		limit, limited := p.Of(b.Key)
+		if !limited {
+			return
+		}
+		l := levels[b]
+		if l == nil {
+			l = &level{jobs: limit.Burst, at: e.at, first: e.at, limit: limit}
+			levels[b] = l
+		}
+		l.n++
+		l.jobs = min(limit.Burst, l.jobs+limit.Rate*(e.at-l.at).Seconds()) - 1
+		if l.at = e.at; l.jobs < -1e-6 && !l.wrong {
+			l.wrong = true
+			r.broken = append(r.broken, fmt.Sprintf("account %s: at %v %s admitted job %d, beyond %v a "+
+				"second and %v at once over all instances", b.Key, e.at, e.who, l.n, limit.Rate, limit.Burst))
+		}
+	}
+	for _, e := range all {
+		switch e.what {
+		case "start":
+			runs[e.who] = 0
+		case "rates":
+			runs[e.who], _ = strconv.ParseUint(e.rest, 10, 64)
+		case "rate":
+			account, rest, err := unquote(e.rest)
+			class, _, err2 := unquote(strings.TrimPrefix(rest, " "))
+			if err != nil || err2 != nil {
+				r.broken = append(r.broken,
+					fmt.Sprintf("%s: %q is no admission of an account", e.who, e.rest))
+				continue
+			}
+			r.admitted++
+			take(e, bucket{runs[e.who], ratelimit.Key{Account: account}})
+			take(e, bucket{runs[e.who], ratelimit.Key{Account: account, Class: class}})
+		}
+	}
+	allowed, used := 0.0, 0
+	for b, l := range levels {
+		if b.Class == "" {
+			allowed += l.limit.Rate * (l.at - l.first).Seconds()
+			used += l.n
+		}
+	}
+	if allowed > 0 {
+		r.use = float64(used) / allowed
+	}
+	return r
+}
+
+func unquote(s string) (text, rest string, err error) {
+	q, err := strconv.QuotedPrefix(s)
+	if err != nil {
+		return "", "", err
+	}
+	text, err = strconv.Unquote(q)
+	return text, s[len(q):], err
+}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -14,6 +14,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/duty"
+	"moorstack/internal/ratelimit"
 	"moorstack/internal/schema"
 )
 
@@ -43,7 +44,10 @@
 	Back     time.Duration `json:"back_ns"`
 	Messages float64       `json:"messages_a_s"` // between all instances, while nothing happened
 	Admitted int           `json:"admitted"`
-	Acts     int           `json:"acts"` // in duties
+	Acts     int           `json:"acts"`  // in duties
+	Rated    int           `json:"rated"` // admissions of accounts whose rate is kept
+	// RateUse is the part of what the accounts' rates allow that was admitted.
+	RateUse float64 `json:"rate_use"`
 	// in which nobody acted in a duty that went from one to another
 	Gaps       []time.Duration `json:"gaps_ns"`
 	Jobs       Jobs            `json:"jobs"`
@@ -59,7 +63,8 @@
 	acked map[string]uint64
 	ended map[string]bool // changes that were withdrawn
 	rng   *rand.Rand
-	asked string // whom the client has asked last
+	rates map[uint64]ratelimit.Policy // that were proposed, by their versions
+	asked string                      // whom the client has asked last
 }
 
 // Run plays a story round real processes and audits it.
@@ -70,7 +75,7 @@
 	}
 	defer f.End()
 	p := &play{Play: o, Fleet: f, acked: map[string]uint64{}, ended: map[string]bool{},
-		rng: rand.New(rand.NewPCG(o.Seed, 11))}
+		rng: rand.New(rand.NewPCG(o.Seed, 11)), rates: map[uint64]ratelimit.Policy{}}
 	p.res.Instances = o.Instances
 	if err := f.Form(ctx); err != nil {
 		return nil, err
@@ -224,6 +229,19 @@
 				}
 				doc.Sections[duty.Section] = map[string]string{"drill": strconv.Itoa(p.Drills)}
 			}
+			if p.Accounts > 0 {
+				if doc.Sections == nil {
+					doc.Sections = map[string]map[string]string{}
+				}
+				words := rateWords(p.Accounts, p.Instances, n/30)
+				doc.Sections[ratelimit.Section] = words
+				policy, wrong := ratelimit.ReadPolicy(words, []string{"trip-quote", "trip-book"})
+				if len(wrong) > 0 {
+					stop()
+					return fmt.Errorf("the rig's own words on rates: %v", wrong)
+				}
+				p.rates[policy.Version] = policy
+			}
 			at = time.Now()
 			try = 0
 		}
@@ -320,9 +338,14 @@
 	p.res.Admitted, p.res.Pauses = admitted, pauses(all)
 	acted, acts, gaps := auditDuties(all)
 	p.res.Acts, p.res.Gaps = acts, gaps
-	for _, b := range append(broken, acted...) {
+	rated := auditRates(all, p.rates)
+	p.res.Rated, p.res.RateUse = rated.admitted, rated.use
+	for _, b := range slices.Concat(broken, acted, rated.broken) {
 		p.violate("%s", b)
 	}
+	if p.Accounts > 0 && p.Rate > 0 && rated.admitted == 0 {
+		p.violate("no account's job was admitted: there was nothing to audit")
+	}
 	if p.Drills > 0 && acts == 0 {
 		p.violate("nobody acted in a duty: there was nothing to audit")
 	}
--- a/internal/rig/story_test.go
+++ b/internal/rig/story_test.go
@@ -1,10 +1,13 @@
 package rig
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"moorstack/internal/ratelimit"
 )
 
 func TestStoriesAreReadAndRefused(t *testing.T) {
@@ -97,3 +100,29 @@
 		}
 	}
 }
+
+func TestAuditFindsMoreThanARate(t *testing.T) {
+	words := map[string]string{"account.a": "10/s burst=2", "account": "X-Account"}
+	p, wrong := ratelimit.ReadPolicy(words, nil)
+	if len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	policies := map[uint64]ratelimit.Policy{p.Version: p}
+	runs := func(who string) entry { return entry{0, who, "rates", fmt.Sprint(p.Version)} }
+	rate := func(ms int, who, rest string) entry {
+		return entry{time.Duration(ms) * time.Millisecond, who, "rate", rest}
+	}
+	good := []entry{runs("x"), runs("y"), rate(1, "x", `"a" "c"`), rate(1, "y", `"a" "c"`),
+		rate(101, "y", `"a" "c"`), rate(101, "x", `"b" "c"`), rate(101, "x", `"b" "c"`)}
+	if r := auditRates(good, policies); len(r.broken) > 0 || r.admitted != 5 {
+		t.Errorf("%v, %d admissions", r.broken, r.admitted)
+	}
+	for says, bad := range map[string]entry{"x admitted job 4, beyond 10 a second": rate(150, "x", `"a" "c"`),
+		"is no admission of an account": rate(150, "x", `a c`),
+		"nobody has agreed on":          {0, "y", "rates", "9"}} {
+		list := append(slices.Clone(good), bad, rate(500, "y", `"a" "c"`))
+		if r := auditRates(list, policies); len(r.broken) == 0 || !strings.Contains(r.broken[0], says) {
+			t.Errorf("%v, want %q", r.broken, says)
+		}
+	}
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,7 +12,8 @@
 // two calls in a row are lost, for every grace that the bounds leave room for.
 func TestEvery(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Rules{Pushed: true, Grace: time.Duration(rapid.Int64Range(int64(asks*least), int64(time.Hour)).Draw(t, "grace"))}
+		grace := rapid.Int64Range(int64(asks*least), int64(time.Hour)).Draw(t, "grace")
+		r := Rules{Pushed: true, Grace: time.Duration(grace)}
 		if 3*r.Every() >= r.Grace {
 			t.Errorf("asked every %v, and the grace is %v", r.Every(), r.Grace)
 		}
