--- /dev/null
+++ b/cmd/moorstack/rates_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rated sends a job of an account to an instance, and says whether the account's rate had room. There are
+// no workers: a job that is admitted is refused by the module, with no word on a rate.
+func (g *group) rated(name, account string) (admitted bool, after string) {
+	g.t.Helper()
+	_, h := g.job(name, account)
+	return !strings.Contains(h.Get("X-Refusal"), "has used its rate"), h.Get("Retry-After")
+}
+
+// propose proposes the configuration with another section, and gives what was said and the exit code.
+func (g *group) propose(at, section string) (string, int) {
+	text := g.must("config", "get", "--config", at+".toml")
+	if i := strings.Index(text, "[section"); i >= 0 {
+		text = text[:i]
+	}
+	check(g.t, os.WriteFile(filepath.Join(g.dir, "new.toml"), []byte(text+section), 0o600))
+	return g.run("config", "propose", "new.toml", "--config", at+".toml")
+}
+
+// An account's burst is one over three instances, wherever its calls come in; one that names no account is
+// limited by none. What makes no sense is refused with its key, and changes nothing.
+func TestAccountsHaveOneRateOverAllFronts(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	g.form("n1", "n2", "n3")
+	for want, bad := range map[string]string{
+		"no whole number of jobs":         `"account.a" = "1/h burst=0.5"`,
+		"there is no class":               `"account.a@z" = "1/s"`,
+		"burst=9 or more":                 "parts = \"9\"\n\"account.a\" = \"1/h burst=3 floor=equal\"",
+		"there is no tenant of that name": `"account.nobody" = "1/s"`} {
+		out, code := g.propose("n1", `[section.ratelimit]
+account = "X-Account"
+tick = "20ms"
+term = "200ms"
+"account.few" = "1/h burst=6 floor=equal"
+"account.some" = "2/s burst=9"
+`)
+	if code != 0 {
+		t.Fatal(out)
+	}
+	for _, name := range []string{"n1", "n2", "n3"} {
+		if rated, after := g.rated(name, "few"); rated || after == "" {
+			t.Errorf("%s: a floor with no time to fill: admitted %v, back after %q", name, rated, after)
+		}
+		if rated, _ := g.rated(name, "unknown"); !rated {
+			t.Errorf("%s: an account that has no line is limited, and there is no default", name)
+		}
+	}
+	began, admitted := time.Now(), 0
+	for n := 0; time.Since(began) < 6*time.Second; n++ {
+		if rated, _ := g.rated([]string{"n1", "n2", "n3"}[n%3], "some"); rated {
+			admitted++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if most := 9 + 2*time.Since(began).Seconds() + 1; float64(admitted) > most || admitted == 0 {
+		t.Errorf("%d jobs in %v, at most %.0f are allowed", admitted, time.Since(began), most)
+	}
+	g.expect(0, "jobs_refused_by_rates", "cluster", "status", "--config", "n1.toml", "--output", "json")
+}
