--- a/cmd/moorstack/rates_test.go
+++ b/cmd/moorstack/rates_test.go
@@ -37,7 +37,14 @@
 		"there is no class":               `"account.a@z" = "1/s"`,
 		"burst=9 or more":                 "parts = \"9\"\n\"account.a\" = \"1/h burst=3 floor=equal\"",
 		"there is no tenant of that name": `"account.nobody" = "1/s"`} {
-		out, code := g.propose("n1", `[section.ratelimit]
+		out, code := g.propose("n1", "[section.ratelimit]\n"+bad+"\n")
+		if code == 0 || !strings.Contains(out, want) {
+			t.Errorf("%s: exit %d: %s", bad, code, out)
+		}
+	}
+	// The floors of an account begin empty, and fill with an hour's rate; the other has none, and its burst by
+	// slices.
+	out, code := g.propose("n1", `[section.ratelimit]
 account = "X-Account"
 tick = "20ms"
 term = "200ms"
