--- a/cmd/moorstack/rates_test.go
+++ b/cmd/moorstack/rates_test.go
@@ -42,8 +42,8 @@
 			t.Errorf("%s: exit %d: %s", bad, code, out)
 		}
 	}
-	// The floors of an account begin empty, and fill with an hour's rate; the other has none, and its burst by
-	// slices.
+	// The floors of one account begin empty, and fill with an hour's rate; the other has none, and its burst
+	// by slices.
 	out, code := g.propose("n1", `[section.ratelimit]
 account = "X-Account"
 tick = "20ms"
