Carry triggers between instances: intents in the agreed log, the fleet's time with the leases

Format 5 of the agreed log has commands of triggers, packed; reports carry an instance's clock and the version of its zone rules, grants the fleet's time; an instance fires what it has intended through its own front, so that routing, gates, sessions and rates hold for it.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -156,6 +158,28 @@
 	return cmd
 }
 
+// scheduleRows say how the triggers stand.
+func scheduleRows(t *table, s *schema.ScheduleStatus) {
+	if s == nil {
+		return
+	}
+	t.add("triggers", fmt.Sprintf("%d, %d of them fired here; %d occurrences are open", s.Triggers, s.Owned, s.Open))
+	at := "not known here"
+	if s.FleetMs > 0 {
+		at = time.UnixMilli(s.FleetMs).UTC().Format("2006-01-02T15:04:05.000Z")
+	}
+	t.add("fleet's time", fmt.Sprintf("%s, zone rules %x", at, s.Zones))
+	for _, name := range slices.Sorted(maps.Keys(s.Off)) {
+		t.add("FIRES NOTHING", name+": "+s.Off[name])
+	}
+	for _, what := range slices.Sorted(maps.Keys(s.Counts)) {
+		t.add("occurrences", fmt.Sprintf("%d %s", s.Counts[what], what))
+	}
+	for _, line := range s.Troubles {
+		t.add("look at", line)
+	}
+}
+
 func statusTable(s *schema.StatusReply) table {
 	t := table{}
 	t.add("instance", fmt.Sprintf("%s (%x)", s.Name, s.Id))
@@ -175,6 +199,7 @@
 		t.add("CUT OFF", fmt.Sprintf("no leader for %.1f s", s.ContactS))
 	}
 	sessionRows(&t, s)
+	scheduleRows(&t, s.Schedule)
 	if s.Joint {
 		t.add("members", "a change of members is half-way; the group ends it by itself")
 	}
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -363,9 +363,10 @@
 		Problems  []string `json:"problems,omitempty"`
 		Changes   []string `json:"changes,omitempty"`
 		Meanwhile []string `json:"meanwhile,omitempty"`
+		Next      []string `json:"next,omitempty"`
 	}{
 		id, strings.ToLower(reply.Code.String()), reply.Revision, f.dryRun, reply.Problems, reply.Changes,
-		reply.Meanwhile,
+		reply.Meanwhile, reply.Next,
 	}
 	code := 0
 	switch reply.Code {
@@ -378,6 +379,12 @@
 		for _, l := range reply.Changes {
 			t.add("  " + l)
 		}
+		if len(reply.Next) > 0 {
+			t.add("triggers come next:")
+		}
+		for _, l := range reply.Next {
+			t.add("  " + l)
+		}
 	case schema.ProposeReply_UNCHANGED:
 		t.add(fmt.Sprintf("nothing to change: revision %d says the same", reply.Revision))
 	case schema.ProposeReply_CONFLICT:
--- a/internal/agreement/agreement_test.go
+++ b/internal/agreement/agreement_test.go
@@ -111,8 +111,8 @@
 	if a.Revision != 3 || b.Revision != 3 || !bytes.Equal(r.Encode(), s.Encode()) {
 		t.Errorf("they go on differently: %+v, %+v", a, b)
 	}
-	for _, bad := range []string{"", "{}", `{"format":5}`, `{"format":1,"history":[{"revision":1}]}`,
-		strings.Replace(string(s.Encode()), `"format":4`, `"format":4,"new":1`, 1)} {
+	for _, bad := range []string{"", "{}", `{"format":6}`, `{"format":1,"history":[{"revision":1}]}`,
+		strings.Replace(string(s.Encode()), `"format":5`, `"format":5,"new":1`, 1)} {
 		if _, err := Restore(Rules{}, []byte(bad)); err == nil {
 			t.Errorf("restored from %q", bad)
 		}
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -20,13 +20,13 @@
 // instance that meets a newer one stops applying changes rather than reading it in part.
 //
 // Format 1 is a group in which a change is in force when it is agreed on. In one of format 2
-// it takes hold as package rollout says, one of format 3 has duties, and one of format 4 keeps rates over
-// all fronts. A group goes to a newer one once all its instances can.
-const Format = 4
+// it takes hold as package rollout says, one of format 3 has duties, one of format 4 keeps rates over
+// all fronts, and one of format 5 has triggers. A group goes to a newer one once all its instances can.
+const Format = 5
 
 // since is the format from which on a section counts. Hazard: an instance that knows nothing of one runs the
 // document all the same, and keeps to nothing that it says.
-var since = map[string]int{"ratelimit": 4}
+var since = map[string]int{"ratelimit": 4, "schedule": 5}
 
 // Bounds on a document. A change beyond them is refused before it is proposed.
 const (
--- a/internal/agreement/image.go
+++ b/internal/agreement/image.go
@@ -7,6 +7,7 @@
 
 	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 )
 
 // image is a State as it is written.
@@ -27,6 +28,9 @@
 	// From format 3 on.
 	Duties []*duty.Duty `json:"duties,omitempty"`
 	Number uint64       `json:"number,omitempty"`
+
+	// From format 5 on.
+	Schedule *schedule.Image `json:"schedule,omitempty"`
 }
 
 type idImage struct {
@@ -48,6 +52,7 @@
 		Pending:  s.pending,
 		Duties:   s.duties.List(),
 		Number:   s.duties.Number,
+		Schedule: s.schedule.Encoded(),
 	}
 	for _, id := range s.order {
 		im.IDs = append(im.IDs, idImage{id, s.ids[id]})
@@ -81,7 +86,10 @@
 	s := &State{rules: rules, cluster: im.Cluster, ids: map[string]Outcome{}, members: map[uint64]Member{},
 		removed: im.Removed, format: im.Format, pending: im.Pending,
 		rollout: &rollout.State{Sessions: map[uint64]rollout.Session{}, Epoch: im.Epoch, Pending: im.Phase},
-		duties:  duty.NewState(im.Number)}
+		duties:  duty.NewState(im.Number), schedule: schedule.NewState()}
+	if im.Schedule != nil {
+		s.schedule = schedule.Restore(*im.Schedule)
+	}
 	for _, d := range im.Duties {
 		if d == nil || d.Number > im.Number || len(d.Note) > duty.MaxNote {
 			return nil, fmt.Errorf("reading an agreed state: a duty that can't be")
@@ -99,6 +107,7 @@
 		last = r.Revision
 		s.push(r)
 	}
+	s.plan()
 	for _, id := range im.IDs {
 		s.remember(id.ID, id.Outcome)
 	}
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"moorstack/internal/duty"
+	"moorstack/internal/placement"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 )
 
 // What a State remembers at the most.
@@ -95,6 +97,8 @@
 	policy  rollout.Policy // of the newest revision
 	duties  *duty.State
 	specs   []duty.Spec // of the newest revision
+
+	schedule *schedule.State
 }
 
 // New makes the state of a new group. The first document has revision 1, or one more
@@ -109,7 +113,8 @@
 		rollout: rollout.NewState(),
 		// Hazard: a group made from a backup must not use the numbers of the one that it was made of,
 		// which may have used more since.
-		duties: duty.NewState(after << 32),
+		duties:   duty.NewState(after << 32),
+		schedule: schedule.NewState(),
 	}
 	if !first.finite() {
 		return nil, fmt.Errorf("the first document has a number that is none")
@@ -118,6 +123,7 @@
 		return nil, fmt.Errorf("the first document is not valid: %v", p)
 	}
 	s.push(Revision{Revision: after + 1, ID: "first", Document: first})
+	s.plan()
 	return s, nil
 }
 
@@ -136,6 +142,27 @@
 // Specs is which duties the configuration in force has.
 func (s *State) Specs() []duty.Spec { return s.specs }
 
+// Schedule is which triggers have come how far. It must not be changed.
+func (s *State) Schedule() *schedule.State { return s.schedule }
+
+// Scheduled applies a command of the triggers that is in the log.
+func (s *State) Scheduled(c schedule.Command) error { return s.schedule.Apply(c) }
+
+// Seated lists the members that may own something by placement: those with open sessions.
+func (s *State) Seated() []placement.Member {
+	var list []placement.Member
+	for _, x := range s.rollout.List() {
+		if x.Open && !x.Loose {
+			seat := placement.Seat{Member: x.Member, Epoch: x.Epoch}
+			list = append(list, placement.Member{Seat: seat, Name: x.Name})
+		}
+	}
+	return list
+}
+
+// Settled has what goes by sessions follow them. It is called after each entry of the log.
+func (s *State) Settled() { s.schedule.Seated(s.Seated()) }
+
 // Duty applies a command of the duties that is in the log.
 func (s *State) Duty(c duty.Command) Outcome {
 	o := Outcome{Code: Accepted, Revision: s.Newest().Revision}
@@ -257,6 +284,7 @@
 			return Outcome{}, false
 		}
 		s.push(r)
+		s.plan()
 	}
 	// Refused ones are remembered too: the same change must not be refused now and
 	// accepted when it comes again.
@@ -289,6 +317,7 @@
 		if c.Kind == rollout.Decide {
 			p.ForceMS = c.AtMS
 			s.push(*p)
+			s.plan()
 			s.remember(p.ID, Outcome{Code: Accepted, Revision: p.Revision})
 		} else {
 			s.remember(p.ID, Outcome{Code: Withdrawn, Revision: o.Revision, Problems: []string{c.Reason}})
@@ -306,10 +335,16 @@
 func (s *State) vacate(c rollout.Command) {
 	switch c.Kind {
 	case rollout.Lapse:
+		s.schedule.Vacated(func(h schedule.Seat) bool {
+			return slices.Contains(c.Seats, rollout.Seat{Member: h.Member, Epoch: h.Epoch})
+		})
 		s.duties.Vacated(func(h duty.Seat) bool {
 			return slices.Contains(c.Seats, rollout.Seat{Member: h.Member, Epoch: h.Epoch})
 		}, "its session ended", c.AtMS)
 	case rollout.Open:
+		s.schedule.Vacated(func(h schedule.Seat) bool {
+			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
+		})
 		s.duties.Vacated(func(h duty.Seat) bool {
 			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
 		}, "it was started anew", c.AtMS)
@@ -342,6 +377,23 @@
 	s.order = append(s.order, id)
 }
 
+// plan takes over the triggers of the newest revision. It has been validated.
+func (s *State) plan() {
+	d := s.Newest().Document
+	p, _ := schedule.ReadPolicy(d.Sections[schedule.Section], namesOf(d))
+	s.schedule.Configure(&p)
+}
+
+func namesOf(d *Document) (n schedule.Names) {
+	for _, c := range d.Classes {
+		n.Classes = append(n.Classes, c.Name)
+	}
+	for _, t := range d.Tenants {
+		n.Tenants = append(n.Tenants, t.Name)
+	}
+	return n
+}
+
 func (s *State) push(r Revision) {
 	r.size = len(r.Document.Encode())
 	s.history = append(s.history, r)
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -10,6 +10,7 @@
 
 	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 )
 
 // SectionRule checks a section that the program knows. It must be a pure function.
@@ -192,6 +193,12 @@
 				p.add(at, "%s", why)
 			}
 		}
+		if name == schedule.Section {
+			_, wrong := schedule.ReadPolicy(values, namesOf(d))
+			for _, why := range wrong {
+				p.add(at, "%s", why)
+			}
+		}
 		if rule := r.Sections[name]; rule != nil {
 			for _, why := range rule(d, values) {
 				p.add(at, "%s", why)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -215,7 +215,7 @@
 func TestOlderProgramInTheGroup(t *testing.T) {
 	a := lead(t)
 	a.state.ApplyMembers([]agreement.Member{{ID: 88, Name: "old", Address: "127.0.0.1:8"}}, nil)
-	image := strings.Replace(string(a.state.Encode()), `"format":4`, `"format":1`, 1)
+	image := strings.Replace(string(a.state.Encode()), `"format":5`, `"format":1`, 1)
 	image = regexp.MustCompile(`,"sessions":\[.*?\],"epoch":\d+`).ReplaceAllString(image, "")
 	old, err := agreement.Restore(agreement.Rules{}, []byte(image))
 	if err != nil || old.Format() != 1 {
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -38,8 +38,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/calendar"
 	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -55,7 +57,8 @@
 	Seed           uint64
 	Log            logrus.FieldLogger
 	TickLength     time.Duration    // 100 ms, if 0
-	Wall           func() time.Time // told to people, used for nothing; may be nil
+	Wall           func() time.Time // told to people, and the fleet's time is made of it; may be nil
+	Zones          *calendar.Zones  // the rules for triggers; nil: those that are here
 }
 
 func (c Config) filled() Config {
@@ -128,6 +131,8 @@
 	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
 	Duties   *[]duty.Held        // what this instance holds, where that has changed
 	Standing *Standing           // how it stands where something is owned by placement, likewise
+	Fire     []schedule.Item     // what this instance is to fire, for as long as it has the session that they name
+	Events   []schedule.Event    // what was agreed on of triggers, for audits
 }
 
 // SessionMessage is a word on sessions to another instance.
--- a/internal/consensus/placement.go
+++ b/internal/consensus/placement.go
@@ -17,6 +17,9 @@
 	Own     placement.Seat // the session that this instance has; the zero Seat: none
 	Until   time.Duration  // when its right to act on what it owns ends, on its clock
 	Lease   time.Duration  // how long any instance's lasts
+	// Fleet was the fleet's time at FleetAt on the instance's clock, Unix nanoseconds; 0: it is not known.
+	Fleet   int64
+	FleetAt time.Duration
 }
 
 // seats are an instance's part in what is owned by placement.
@@ -33,15 +36,8 @@
 // Hazard: two entries may be applied in one turn, and the view between the two is one that another instance
 // may have acted by. So each is noted, and told.
 func (i *Instance) seat() {
-	s := i.state.Rollout()
-	v := placement.View{}
-	for _, x := range s.List() {
-		if x.Open && !x.Loose {
-			seat := placement.Seat{Member: x.Member, Epoch: x.Epoch}
-			v.Members = append(v.Members, placement.Member{Seat: seat, Name: x.Name})
-		}
-	}
-	v.Number = placement.NumberOf(s.Epoch, len(v.Members))
+	v := placement.View{Members: i.state.Seated()}
+	v.Number = placement.NumberOf(i.state.Rollout().Epoch, len(v.Members))
 	if p := &i.ses.seats; v.Number != p.last {
 		p.last = v.Number
 		p.views = append(p.views, v)
@@ -52,6 +48,8 @@
 func (i *Instance) reseat() {
 	p := &i.ses.seats
 	p.views, p.last, p.gap = nil, 0, true
+	i.ses.plans.all = true
+	i.state.Settled()
 	i.seat()
 }
 
@@ -59,12 +57,14 @@
 func (i *Instance) tellStanding() {
 	p := &i.ses.seats
 	p.right.Applied(i.applied)
-	now := Standing{Views: p.views, Skipped: p.gap, Lease: i.policy().Lease}
+	now := Standing{Views: p.views, Skipped: p.gap, Lease: i.policy().Lease, Fleet: i.ses.plans.fleet,
+		FleetAt: i.ses.plans.fleetAt}
 	if epoch := i.ses.holder.Epoch(); epoch != 0 && !i.gone() {
 		now.Own = placement.Seat{Member: i.identity.Id, Epoch: epoch}
 		now.Until = p.right.Until(epoch, now.Lease)
 	}
-	same := now.Own == p.told.Own && now.Until == p.told.Until && now.Lease == p.told.Lease
+	same := now.Own == p.told.Own && now.Until == p.told.Until && now.Lease == p.told.Lease &&
+		now.Fleet == p.told.Fleet
 	if len(now.Views) == 0 && same {
 		return
 	}
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -38,7 +38,8 @@
 
 func (e *Effects) empty() bool {
 	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil &&
-		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil && e.Standing == nil
+		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil && e.Standing == nil &&
+		len(e.Fire) == 0 && len(e.Events) == 0
 }
 
 // save makes records of what must outlive the process. The order matters where the end of
@@ -167,12 +168,15 @@
 		i.applyCommand(m.Command)
 	case m.Duty != nil:
 		i.applyDuty(m.Duty)
+	case m.Schedule != nil:
+		i.applySchedule(m.Schedule)
 	default:
 		if o, ok := i.state.Apply(c); ok {
 			i.outcome = append(i.outcome, outcome{c.ID, o})
 		}
 	}
 	i.seat()
+	i.state.Settled()
 	i.tell()
 }
 
@@ -250,7 +254,7 @@
 			agreement.Format,
 		)
 	}
-	if m.Command != nil || m.Duty != nil || m.Enter {
+	if m.Command != nil || m.Duty != nil || m.Schedule != nil || m.Enter {
 		return m, agreement.Change{}, nil
 	}
 	doc, err := agreement.Decode(m.Document)
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -17,6 +17,7 @@
 	"moorstack/internal/agreement"
 	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -48,7 +49,11 @@
 	// Standing is told, on the same goroutine, how this instance stands where something is owned by
 	// placement, whenever that changes. It must not wait.
 	Standing func(Standing)
-	Labels   []string // what this instance has that duties ask for
+	// Fire is told, on the same goroutine, of occurrences that this instance is to fire, and Events of what was
+	// agreed on of triggers. They must not wait.
+	Fire   func([]schedule.Item)
+	Events func([]schedule.Event)
+	Labels []string // what this instance has that duties ask for
 }
 
 // Runner is an instance with a clock, a disk and a network. One goroutine drives it.
@@ -76,7 +81,9 @@
 	if cfg.Tick <= 0 {
 		cfg.Tick = 100 * time.Millisecond
 	}
-	cfg.TickLength, cfg.Wall = cfg.Tick, time.Now
+	if cfg.TickLength = cfg.Tick; cfg.Wall == nil {
+		cfg.Wall = time.Now
+	}
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
@@ -194,6 +201,12 @@
 	if e.Standing != nil && r.cfg.Standing != nil {
 		r.cfg.Standing(*e.Standing)
 	}
+	if len(e.Events) > 0 && r.cfg.Events != nil {
+		r.cfg.Events(e.Events)
+	}
+	if len(e.Fire) > 0 && r.cfg.Fire != nil {
+		r.cfg.Fire(e.Fire)
+	}
 	if e.Permit != nil && r.cfg.Permit != nil {
 		r.cfg.Permit(*e.Permit)
 	}
@@ -333,6 +346,11 @@
 	return a.Outcome, a.Err
 }
 
+// Fired says what became of occurrences that this instance was to fire. It does not wait.
+func (r *Runner) Fired(results []schedule.Outcome) {
+	go r.do(context.Background(), func() { r.inst.Fired(results) })
+}
+
 // Away says whether this instance is about to end, and so hands on what it holds.
 func (r *Runner) Away(ctx context.Context, away bool) error {
 	return r.do(ctx, func() { r.inst.Away(away) })
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -11,6 +11,7 @@
 	"moorstack/internal/agreement"
 	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
+	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 )
 
@@ -39,6 +40,7 @@
 
 	duties duties
 	seats  seats
+	plans  plans
 }
 
 // Clock tells the time before an input: on a clock that goes on while the process, or the
@@ -87,6 +89,7 @@
 			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt),
 			Running: r.Running})
 		i.ses.duties.told(from, r.Away, r.Labels)
+		i.read(from, schedule.Reading{Wall: r.WallNs, Version: r.PlanVersion, Zones: r.Zones})
 	}
 	if g := m.Grant; g != nil {
 		if g.AskedNs > int64(i.ses.now) {
@@ -94,6 +97,7 @@
 		}
 		i.granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
 			For: time.Duration(g.ForNs)}, g.Index, g.Applied)
+		i.dated(time.Duration(g.AskedNs), g.FleetNs)
 	}
 	i.sessions()
 	return nil
@@ -134,6 +138,7 @@
 		}
 		i.tellPermit()
 		i.tellDuties()
+		i.scheduled()
 		i.tellStanding()
 		i.stage()
 	})
@@ -151,6 +156,7 @@
 	case leads && (x.leader == nil || x.leader.Term() != s.GetTerm()):
 		x.leader = rollout.NewLeader(x.now, s.GetTerm())
 		x.duties.leader = duty.NewLeader(x.now, s.GetTerm())
+		x.plans.leader = schedule.NewLeader(s.GetTerm())
 		clear(x.waiting)
 		x.asked, x.read, x.index = nil, "", 0
 		x.holder.Again()
@@ -177,11 +183,14 @@
 	if s.Lead == i.identity.Id {
 		i.reported(r)
 		x.duties.told(i.identity.Id, x.duties.away, x.duties.labels)
+		i.read(i.identity.Id, i.reading())
 		return
 	}
+	own := i.reading()
 	i.say(s.Lead, &schema.SessionMessage{Report: &schema.SessionReport{Nonce: r.Nonce, Epoch: r.Epoch,
 		AskedNs: int64(r.Asked), Staged: r.Staged, Refused: r.Refused, Closed: r.Closed,
-		Attempt: int64(r.Attempt), Running: r.Running, Away: x.duties.away, Labels: x.duties.labels}})
+		Attempt: int64(r.Attempt), Running: r.Running, Away: x.duties.away, Labels: x.duties.labels,
+		WallNs: own.Wall, PlanVersion: own.Version, Zones: own.Zones}})
 }
 
 func (i *Instance) say(to uint64, m *schema.SessionMessage) {
@@ -202,9 +211,11 @@
 			index := i.dutiesFrom(member.ID)
 			if member.ID == i.identity.Id {
 				i.granted(g, index, i.applied)
+				i.dated(g.Asked, i.fleet())
 			} else {
 				i.say(member.ID, &schema.SessionMessage{Grant: &schema.SessionGrant{Epoch: g.Epoch,
-					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index, Applied: i.applied}})
+					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index, Applied: i.applied,
+					FleetNs: i.fleet()}})
 			}
 		}
 		x.asked, x.read, x.index = nil, "", 0
@@ -243,6 +254,7 @@
 		_ = i.rn.Propose(encodeCommand(c)) // dropped, it is asked for again
 	}
 	i.judgeDuties()
+	i.judgeSchedule()
 }
 
 // enter asks for the newest format, once every instance is known to read it.
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -26,6 +26,7 @@
 	Members  []MemberStatus
 	Halted   error
 	Rollout  Rollout
+	Schedule *Schedule // nil: there are no triggers
 }
 
 // MemberStatus is how a member stands, as far as this instance knows.
@@ -67,6 +68,7 @@
 	}
 	st.Revision = i.state.Newest().Revision
 	st.Rollout = i.rollout()
+	st.Schedule = i.schedule()
 	for _, m := range i.state.Members() {
 		ms := MemberStatus{Member: m, Voter: slices.Contains(i.conf.GetVoters(), m.ID)}
 		if s.RaftState == raft.StateLeader {
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -57,6 +57,7 @@
 		out.AdmitsNot = fmt.Sprintf("revision %d is in force, and %d runs here", x.Permit.Revision,
 			out.Running)
 	}
+	describeSchedule(out, st)
 	sessions := map[uint64]rollout.Session{}
 	for _, one := range x.Sessions {
 		sessions[one.Member] = one
--- /dev/null
+++ b/internal/control/schedule.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"moorstack/internal/consensus"
+	"moorstack/internal/schema"
+)
+
+// describeSchedule says how the triggers stand, where there are any.
+func describeSchedule(out *schema.StatusReply, st consensus.Status) {
+	x := st.Schedule
+	if x == nil {
+		return
+	}
+	s := &schema.ScheduleStatus{Triggers: uint32(x.Triggers), Owned: uint32(x.Owned), Open: uint32(x.Open),
+		Zones: x.Zones, FleetMs: x.Fleet / int64(time.Millisecond), Counts: x.Counts, Off: map[string]string{}}
+	for _, m := range out.Members {
+		if why := x.Off[m.Id]; why != "" {
+			s.Off[m.Name] = why
+		}
+	}
+	for n := len(x.Troubles) - 1; n >= 0 && len(s.Troubles) < 10; n-- {
+		t := x.Troubles[n]
+		s.Troubles = append(s.Troubles, fmt.Sprintf("%s %v (%s)", t.Key, t.Result,
+			time.Unix(t.At, 0).UTC().Format(time.RFC3339)))
+	}
+	out.Schedule = s
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -38,6 +38,8 @@
 	Counters() map[string]uint64
 	Tick() time.Duration
 	ExplainRoute(*schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error)
+	// Next says when the triggers of a document come next.
+	Next(*agreement.Document, time.Time) ([]string, error)
 	// Holds is which duties this instance holds, as it knows.
 	Holds() []duty.Held
 }
@@ -333,7 +335,12 @@
 	}
 	var o agreement.Outcome
 	if in.DryRun {
-		o, err = r.Check(ctx, c)
+		if o, err = r.Check(ctx, c); err == nil && o.Code == agreement.Accepted {
+			if out.Next, err = s.host.Next(doc, time.Now()); err != nil {
+				o, err = agreement.Outcome{Code: agreement.Invalid, Revision: o.Revision,
+					Problems: []string{err.Error()}}, nil
+			}
+		}
 	} else {
 		o, err = r.Propose(ctx, c, in.NoWait)
 	}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -15,6 +15,7 @@
 
 	"moorstack/brain"
 	"moorstack/internal/agreement"
+	"moorstack/internal/calendar"
 	"moorstack/internal/consensus"
 	"moorstack/internal/control"
 	"moorstack/internal/core"
@@ -48,6 +49,8 @@
 	keeper  *keeper
 	lists   *hub
 	rates   *rates
+	plans   *triggers
+	zones   *calendar.Zones
 
 	mu      sync.Mutex
 	running uint64
@@ -87,7 +90,7 @@
 func NewInstance(cfg *ServeConfig, program string, log logrus.FieldLogger) (*Instance, error) {
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
-	i.keeper, i.rates = newKeeper(i), newRates(i)
+	i.keeper, i.rates, i.plans = newKeeper(i), newRates(i), newTriggers(i)
 	i.gate.rates = i.rates
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
@@ -131,13 +134,24 @@
 	i.network = peers.New(k, cfg.Name, cfg.Peers.Advertise, cfg.Peers.From, i.program, log.WithField("part",
 		"peers"))
 	i.started("the peers' network", func() error { i.network.Close(); return nil })
+	wall, err := cfg.wallClock()
+	if err != nil {
+		return tomlfile.At(cfg.path, cfg.raw, "test.clock", "%v", err)
+	}
+	if i.zones, err = cfg.zoneRules(); err != nil {
+		return tomlfile.At(cfg.path, cfg.raw, "test.zones", "%v", err)
+	}
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
-		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement")}, Name: cfg.Name,
+		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement"), Wall: wall,
+			Zones: i.zones}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: func(r agreement.Revision) { offer(i.latest, r) },
 		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted,
-		Duties:   func(held []duty.Held) { i.keeper.tell(held) },
-		Standing: func(s consensus.Standing) { i.rates.stands(s) }, Labels: cfg.labels()})
+		Duties: func(held []duty.Held) { i.keeper.tell(held) },
+		Standing: func(s consensus.Standing) {
+			i.rates.stands(s)
+			i.node.loop.Post(func() { i.plans.stands(s) })
+		}, Fire: i.plans.fire, Events: i.plans.audited, Labels: cfg.labels()})
 	if err != nil {
 		return err
 	}
@@ -268,6 +282,9 @@
 	if err == nil {
 		err = i.bears(r.Document)
 	}
+	if err == nil {
+		err = i.bearsTriggers(r.Document)
+	}
 	if err == nil {
 		err = i.node.CanConfigure(t)
 	}
@@ -314,9 +331,10 @@
 		t, err = i.termsOf(r.Document)
 	}
 	if err == nil {
-		limits := limitsOf(r.Document)
+		limits, planned := limitsOf(r.Document), triggersOf(r.Document)
 		t.Revision = func() {
 			i.rates.configure(limits)
+			i.plans.configure(&planned, r.Document)
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
@@ -549,5 +567,6 @@
 	}
 	c["jobs_refused_by_sessions"] = i.gate.refused.Load()
 	c["jobs_refused_by_rates"] = i.rates.refused.Load()
+	c["occurrences_begun"] = i.plans.begun.Load()
 	return c
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -47,6 +47,12 @@
 		Backups string `toml:"backups"`
 	} `toml:"duties"`
 
+	// Test is for tests: see TestClocks.
+	Test struct {
+		Clock string `toml:"clock"` // the file of a wall clock
+		Zones string `toml:"zones"` // a zone that all zones are taken for: rules that others don't have
+	} `toml:"test"`
+
 	Control struct {
 		Socket string `toml:"socket"`
 		Listen string `toml:"listen"` // TLS, for certificates of operators and readers; off if empty
@@ -113,7 +119,7 @@
 	}
 	for _, p := range []*string{
 		&c.Data, &c.Front.Platform, &c.Front.Faktory, &c.Front.Routes, &c.Keys.CA, &c.Keys.Cert, &c.Keys.Key,
-		&c.Control.Socket, &c.Audit, &c.Duties.Backups} {
+		&c.Control.Socket, &c.Audit, &c.Duties.Backups, &c.Test.Clock} {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
--- /dev/null
+++ b/internal/node/triggers.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/agreement"
+	"moorstack/internal/calendar"
+	"moorstack/internal/consensus"
+	"moorstack/internal/core"
+	"moorstack/internal/net"
+	"moorstack/internal/platform"
+	"moorstack/internal/schedule"
+)
+
+// triggers fire what this instance has intended. All but the counters belongs to the node's loop: a job is
+// begun in the turn in which the clock was looked at.
+type triggers struct {
+	i        *Instance
+	log      logrus.FieldLogger
+	policy   *schedule.Policy
+	giveUp   map[string]time.Duration // by class
+	standing consensus.Standing
+	known    map[uint64]*firing // by number, until the outcome is told
+	waiting  []*firing          // to be begun, the first first
+	results  []schedule.Outcome
+	timer    *net.Timer
+	begun    atomic.Uint64
+	early    bool // a turn is asked for
+}
+
+// firing is an occurrence that this instance is to fire, until it knows what became of it.
+type firing struct {
+	schedule.Item
+	t     *triggers
+	open  bool          // the core has it
+	again time.Duration // not before
+	tries int
+}
+
+// How much is begun in one turn of the loop, and when what was refused without a word is tried again.
+const (
+	firingsATurn = 200
+	firingAgain  = 200 * time.Millisecond
+	firingTurn   = 5 * time.Millisecond
+)
+
+func newTriggers(i *Instance) *triggers {
+	return &triggers{i: i, log: i.log.WithField("part", "triggers"), policy: &schedule.Policy{},
+		known: map[uint64]*firing{}}
+}
+
+// triggersOf is what a document says of triggers. It has been validated.
+func triggersOf(d *agreement.Document) schedule.Policy {
+	p, _ := schedule.ReadPolicy(d.Sections[schedule.Section], schedule.Names{Classes: classesOf(d),
+		Tenants: tenantsOf(d)})
+	return p
+}
+
+func tenantsOf(d *agreement.Document) []string {
+	var names []string
+	for _, t := range d.Tenants {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
+// configure takes over what the configuration in force says, in the turn in which the fronts run it.
+func (t *triggers) configure(p *schedule.Policy, d *agreement.Document) {
+	t.giveUp = map[string]time.Duration{}
+	for _, c := range d.Classes {
+		t.giveUp[c.Name] = time.Duration(c.GiveUp)
+	}
+	if p.Version == t.policy.Version {
+		return
+	}
+	t.policy = p
+	t.i.gate.note("triggers %d", p.Version)
+	t.log.WithFields(logrus.Fields{"triggers": len(p.Triggers),
+		"zones": fmt.Sprintf("%x", t.i.zones.Version(p.ZoneNames()))}).Info("triggers are kept")
+}
+
+// stands takes the agreement's word on this instance's session. It is called on the loop.
+func (t *triggers) stands(s consensus.Standing) {
+	t.standing = s
+	t.soon(0)
+}
+
+// fire takes what this instance is to fire. It is called on the runner's goroutine.
+func (t *triggers) fire(items []schedule.Item) {
+	t.i.node.loop.Post(func() {
+		for _, item := range items {
+			f := t.known[item.Number]
+			if f != nil && f.open {
+				// Hazard: this session has ended while the job was out, and the next one has taken it over: the job
+				// that is out is the one.
+				f.Item = item
+				continue
+			}
+			if f == nil {
+				f = &firing{t: t}
+				t.known[item.Number] = f
+				t.waiting = append(t.waiting, f)
+			}
+			f.Item = item
+		}
+		t.run()
+	})
+}
+
+// soon has a turn come.
+func (t *triggers) soon(after time.Duration) {
+	if len(t.waiting) == 0 && len(t.results) == 0 || t.early {
+		return
+	}
+	t.early = true
+	t.timer = t.i.node.loop.After(after, func() {
+		t.early = false
+		t.run()
+	})
+}
+
+// run begins what may be begun, and tells what has ended.
+func (t *triggers) run() {
+	if len(t.results) > 0 {
+		t.i.runner.Fired(t.results)
+		t.results = nil
+	}
+	now := consensus.Boottime()
+	begun := 0
+	waiting := t.waiting
+	t.waiting = nil
+	for _, f := range waiting {
+		switch {
+		case f.Seat != t.standing.Own:
+			delete(t.known, f.Number) // it is another's, or nobody's, by now
+		case begun >= firingsATurn || now < f.again || now >= t.standing.Until:
+			// Hazard: the process may have stood still, and the next owner have it already.
+			t.waiting = append(t.waiting, f)
+		default:
+			begun++
+			t.begin(f, now)
+		}
+	}
+	t.soon(firingTurn)
+}
+
+// fleet is the fleet's time, Unix seconds; 0: it is not known.
+func (t *triggers) fleet(now time.Duration) int64 {
+	if t.standing.Fleet == 0 {
+		return 0
+	}
+	return (t.standing.Fleet + int64(now-t.standing.FleetAt)) / int64(time.Second)
+}
+
+func (t *triggers) begin(f *firing, now time.Duration) {
+	n, ok := slices.BinarySearchFunc(t.policy.Triggers, f.Trigger, func(a schedule.Trigger, name string) int {
+		return strings.Compare(a.Name, name)
+	})
+	if !ok {
+		t.log.WithField("occurrence", f.Key()).Warn("it is not fired: its trigger was removed meanwhile")
+		t.end(f, schedule.Refused)
+		return
+	}
+	tr := &t.policy.Triggers[n]
+	if f.tries > 0 && t.fleet(now)-f.At > int64((tr.Late+tr.Spread)/time.Second) {
+		t.log.WithField("occurrence", f.Key()).Error("it was refused until it was too late")
+		t.end(f, schedule.Refused)
+		return
+	}
+	class := slices.Index(t.i.names.Classes, tr.Class)
+	tenant := max(slices.Index(t.i.names.Tenants, tr.Tenant), 0)
+	f.open = true
+	f.tries++
+	t.begun.Add(1)
+	t.i.gate.note("fire %q %d %d %d %v", f.Key(), f.Number, f.Seat.Epoch, f.At, f.Repeat)
+	err := t.i.node.front.Begin(platform.Planned{ID: f.Key(), Class: class, Tenant: tenant,
+		Account: tr.Account, Target: tr.Target, Body: tr.Body, Work: tr.Work, Left: t.giveUp[tr.Class],
+		Repeat: f.Repeat || f.tries > 1}, f)
+	if err != nil {
+		f.open = false
+		if !errors.Is(err, core.ErrKnown) {
+			t.log.WithError(err).Error("an occurrence can't be fired")
+		}
+		t.i.gate.note("answer %q %d busy", f.Key(), f.Number)
+		t.later(f, firingAgain)
+	}
+}
+
+func (t *triggers) later(f *firing, after time.Duration) {
+	f.again = consensus.Boottime() + max(after, firingAgain)
+	t.waiting = append(t.waiting, f)
+	t.soon(firingTurn)
+}
+
+func (t *triggers) end(f *firing, r schedule.Result) {
+	delete(t.known, f.Number)
+	t.results = append(t.results, schedule.Outcome{Number: f.Number, Seat: f.Seat, Result: r})
+	t.soon(firingTurn)
+}
+
+// Answer implements core.Client: what became of the job.
+func (f *firing) Answer(a core.Answer) {
+	f.open = false
+	word := map[core.Kind]string{core.Served: "served", core.Busy: "busy", core.Failed: "failed"}[a.Kind]
+	f.t.i.gate.note("answer %q %d %s", f.Key(), f.Number, word)
+	switch a.Kind {
+	case core.Served:
+		f.t.end(f, schedule.Done)
+	case core.Busy:
+		// It surely never ran.
+		f.t.later(f, a.RetryAfter)
+	default:
+		f.t.log.WithField("occurrence", f.Key()).Error("the job of an occurrence has failed: it may have run")
+		f.t.end(f, schedule.Failed)
+	}
+}
+
+// audited writes what was agreed on into the journal. It is called on the runner's goroutine.
+func (t *triggers) audited(events []schedule.Event) {
+	if t.i.gate.journal == nil {
+		return
+	}
+	for _, e := range events {
+		t.i.gate.note("agreed %s %q %d %d %d %d", e.What, e.Key, e.Number, e.At, e.Seat.Epoch, e.Result)
+	}
+}
+
+// bearsTriggers says why this instance can't keep the triggers of a document.
+func (i *Instance) bearsTriggers(d *agreement.Document) error {
+	p := triggersOf(d)
+	if _, err := p.Plans(i.zones); err != nil {
+		return fmt.Errorf("section %q: %w", schedule.Section, err)
+	}
+	return nil
+}
+
+// Next implements control.Host: when each trigger of a document comes next, a line each.
+func (i *Instance) Next(d *agreement.Document, from time.Time) ([]string, error) {
+	p := triggersOf(d)
+	plans, err := p.Plans(i.zones)
+	if err != nil || len(plans) == 0 {
+		return nil, err
+	}
+	lines := []string{fmt.Sprintf("zone rules here: zones = \"%x\"", i.zones.Version(p.ZoneNames()))}
+	for k, plan := range plans[:min(len(plans), 50)] {
+		t := &p.Triggers[k]
+		if t.Paused {
+			lines = append(lines, t.Name+": paused")
+			continue
+		}
+		line := t.Name + " (" + t.Zone + "):"
+		at := from.Unix()
+		for range 5 {
+			o, ok := plan.Next(at)
+			if !ok {
+				break
+			}
+			at = o.At
+			line += " " + o.Name.String()
+			if o.Deed != calendar.Plain {
+				line += fmt.Sprintf(" (at %s: %v)", time.Unix(o.Wall, 0).UTC().Format("01-02T15:04"), o.Deed)
+			}
+		}
+		lines = append(lines, line)
+	}
+	if len(plans) > 50 {
+		lines = append(lines, fmt.Sprintf("and %d more", len(plans)-50))
+	}
+	return lines, nil
+}
--- a/internal/schedule/leader.go
+++ b/internal/schedule/leader.go
@@ -81,7 +81,10 @@
 // found to be off among three or more does not count before it was found to be right again.
 func (l *Leader) Fleet(now time.Duration, s *State, g Group) int64 {
 	all := l.clocks(now, g.Members, g.Lease, func(uint64) bool { return true })
-	list := l.clocks(now, g.Members, g.Lease, func(m uint64) bool { return s.Off[m] == "" && !l.off[m] })
+	list := l.clocks(now, g.Members, g.Lease, func(m uint64) bool {
+		// Hazard: one with other zone rules may have the only clock that is right.
+		return !strings.HasPrefix(s.Off[m], clockIs) && !l.off[m]
+	})
 	if 2*len(all) <= g.Size || len(list) == 0 {
 		return 0
 	}
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -97,6 +97,12 @@
 	o.rules = o.zones.Version(p.ZoneNames())
 }
 
+// Owned is how many triggers this instance fires, as it knows.
+func (o *Owner) Owned() int { return len(o.queue) }
+
+// Broken says why no plan can be made of the policy here.
+func (o *Owner) Broken() error { return o.broken }
+
 // Rules is the version of the zone rules that are here.
 func (o *Owner) Rules() uint64 { return o.rules }
 
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -66,6 +66,13 @@
 // results is how many there are.
 const results = 5
 
+// Outcome is what became of an item that a session had.
+type Outcome struct {
+	Number uint64
+	Seat   Seat
+	Result Result
+}
+
 // Trouble is an occurrence that operators should look at: it was not served for sure.
 type Trouble struct {
 	Key    string `json:"key"`
@@ -180,6 +187,20 @@
 	return *i, true
 }
 
+// OpenCount is how many are without outcome.
+func (s *State) OpenCount() int { return len(s.open) }
+
+// Counted is how many occurrences have ended in each way.
+func (s *State) Counted() map[string]uint64 {
+	m := map[string]uint64{}
+	for r, n := range s.Counts {
+		if n > 0 {
+			m[Result(r).String()] = n
+		}
+	}
+	return m
+}
+
 // OpenItems lists those without outcome, the oldest first.
 func (s *State) OpenItems() []Item {
 	list := make([]Item, 0, len(s.open))
