Fire triggers at real processes under faults, with an audit of who fired what, and when

Stories in virtual time can't show what the assembly does. The rig agrees on triggers of all classes, steps clocks, gives an instance other zone rules, runs all clocks fast through a night, and audits journals and what workers took: nothing intended twice, left out, fired unintended or early, or again where it may have run and may not be repeated.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -163,12 +163,13 @@
 	if s == nil {
 		return
 	}
-	t.add("triggers", fmt.Sprintf("%d, %d of them fired here; %d occurrences are open", s.Triggers, s.Owned, s.Open))
+	t.add("triggers", fmt.Sprintf("%d, %d of them fired here; %d occurrences are open", s.Triggers,
+		s.Owned, s.Open))
 	at := "not known here"
 	if s.FleetMs > 0 {
 		at = time.UnixMilli(s.FleetMs).UTC().Format("2006-01-02T15:04:05.000Z")
 	}
-	t.add("fleet's time", fmt.Sprintf("%s, zone rules %x", at, s.Zones))
+	t.add("fleet's time", fmt.Sprintf("%s, zone rules %016x", at, s.Zones))
 	for _, name := range slices.Sorted(maps.Keys(s.Off)) {
 		t.add("FIRES NOTHING", name+": "+s.Off[name])
 	}
--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -21,6 +21,9 @@
 	rate              float64
 	changes, drills   int
 	accounts          int
+	triggers          int
+	clock, oldRules   string
+	speed             float64
 	shrink, quiet     bool
 	trace, kills      bool
 }
@@ -71,6 +74,11 @@
 	fl.IntVar(&f.changes, "changes", 0, "at most so many changes; 0: as many as there is time for")
 	fl.IntVar(&f.accounts, "accounts", 4, "how many accounts' rates are kept over all instances; 0 to 1000")
 	fl.IntVar(&f.drills, "duties", 3, "how many duties the instances hold, to practise; 0 to 100")
+	fl.IntVar(&f.triggers, "triggers", 6, "how many triggers fire over all instances; 0 to 1000")
+	fl.StringVar(&f.clock, "clock", "", "what the instances' clocks show at the beginning, as in "+
+		"2026-10-25T00:30:00Z; empty: the machine's time")
+	fl.Float64Var(&f.speed, "speed", 1, "how fast the instances' clocks run, 1 to 600")
+	fl.StringVar(&f.oldRules, "old-rules", "", "an `instance` that has other zone rules than the rest")
 	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
 	fl.BoolVar(&f.shrink, "shrink", false,
 		"play a story that breaks something again, with fewer faults each time")
@@ -94,6 +102,12 @@
 		return fmt.Errorf("--changes: %d is not from 1 to 100000", f.changes)
 	case f.accounts < 0 || f.accounts > 1000:
 		return fmt.Errorf("--accounts: %d is not from 0 to 1000", f.accounts)
+	case f.triggers < 0 || f.triggers > 1000:
+		return fmt.Errorf("--triggers: %d is not from 0 to 1000", f.triggers)
+	case f.speed < 1 || f.speed > 600:
+		return fmt.Errorf("--speed: %v is not from 1 to 600", f.speed)
+	case f.oldRules != "" && !slices.Contains(rig.Names(f.processes), f.oldRules):
+		return fmt.Errorf("--old-rules: there is no instance %q", f.oldRules)
 	case f.drills < 0 || f.drills > 100:
 		return fmt.Errorf("--duties: %d is not from 0 to 100", f.drills)
 	case f.rate < 0 || f.rate > 1000:
@@ -182,7 +196,13 @@
 	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self,
 		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
-		Seed: f.seed, Drills: f.drills, Accounts: f.accounts}}
+		Seed: f.seed, Drills: f.drills, Accounts: f.accounts, Triggers: f.triggers, Speed: f.speed,
+		OldRules: f.oldRules}}
+	if f.clock != "" {
+		if o.Clock, err = time.Parse(time.RFC3339, f.clock); err != nil {
+			return nil, fmt.Errorf("--clock: %w", err)
+		}
+	}
 	if f.trace {
 		o.Trace = cmd.ErrOrStderr()
 	} else if terminal(os.Stderr) {
@@ -207,6 +227,7 @@
 	line("from propose to in force", r.Took)
 	line("pause in admission for a change", r.Pauses)
 	line("nobody acts while a duty changes hands", r.Gaps)
+	line("a trigger is fired after its time", r.Fired.Late)
 	t.add("")
 	t.add(fmt.Sprintf("%d instances, %.1f s, %d faults; %d changes in force, %d withdrawn, %d calls repeated",
 		r.Instances, r.Seconds, r.Faults, r.InForce, r.Withdrawn, r.Repeats))
@@ -219,6 +240,11 @@
 	t.add(fmt.Sprintf(
 		"%d admissions, %d of accounts (%.0f%% of their rates) and %d acts in duties audited, %d violations",
 		r.Admitted, r.Rated, 100*r.RateUse, r.Acts, len(r.Violations)))
+	if f := r.Fired; f.Intended > 0 {
+		t.add(fmt.Sprintf("%d occurrences intended, %d fired, %d taken over, %d may have run, %d refused, "+
+			"%d failed",
+			f.Intended, f.Begun, f.Adopted, f.MayHave, f.Refused, f.Failed))
+	}
 	for _, v := range r.Violations {
 		t.add("  " + v)
 	}
--- /dev/null
+++ b/cmd/moorstack/triggers_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Triggers are set in the agreed configuration, and seen before and after by the operators' commands.
+// What makes no sense is refused with its key, and changes nothing.
+func TestTriggersByTheOperatorsCommands(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	g.form("n1", "n2", "n3")
+	for want, bad := range map[string]string{
+		"there is no such class; trip-quote": `"trigger.a" = "30 6 * * MON class=x"`,
+		"above maximum":                      `"trigger.a" = "30 26 * * MON class=trip-book"`,
+		"never comes":                        `"trigger.a" = "30 6 30 2 * class=trip-book"`,
+		"after, shift, skip are possible":    `"trigger.a" = "30 6 * * * class=trip-book gap=x"`,
+		"is no key of this section":          `"tigger.a" = "30 6 * * * class=trip-book"`,
+		"is no version of zone rules":        `zones = "2026b"`,
+	} {
+		out, code := g.propose("n1", "[section.schedule]\nzone = \"Asia/Muscat\"\n"+bad+"\n")
+		if code == 0 || !strings.Contains(out, want) || !strings.Contains(out, "new.toml:") {
+			t.Errorf("%s: exit %d: %s", bad, code, out)
+		}
+	}
+	// A zone that nobody knows: each instance looks it up for itself.
+	out, code := g.propose("n1",
+		"[section.schedule]\n\"trigger.a\" = \"0 6 * * * class=trip-book zone=Mars/Base\"\n")
+	if code == 0 || !strings.Contains(out, "withdrawn") || !strings.Contains(out, "trigger.a") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	g.expect(exitInvalid, "no zone that the rules here know", "config", "propose", "new.toml", "--dry-run",
+		"--config", "n1.toml")
+	words := `[section.schedule]
+zone = "Europe/Berlin"
+"trigger.dialysis-7" = "30 2 * * * class=trip-book fold=both account=clinic-7"
+"trigger.leap" = "0 6 29 2 * class=trip-quote leap=last"
+`
+	if out, code = g.propose("n1", words); code != 0 {
+		t.Fatal(out)
+	}
+	eventually(t, "the fleet's time is known", func() bool {
+		out := g.must("cluster", "status", "--config", "n2.toml")
+		return strings.Contains(out, "triggers      2, ") && !strings.Contains(out, "not known here") &&
+			!strings.Contains(out, "zone rules 0000000000000000")
+	})
+	text := g.must("config", "get", "--config", "n1.toml")
+	check(t, os.WriteFile(filepath.Join(g.dir, "next.toml"), []byte(strings.Replace(text, "fold=both",
+		"fold=first",
+		1)), 0o600))
+	out = g.must("config", "propose", "next.toml", "--dry-run", "--config", "n1.toml")
+	for _, want := range []string{"dialysis-7 (Europe/Berlin): ", "T02:30", "-02-29T06:00",
+		"the month lacks its day", "zones = "} {
+		if !strings.Contains(out, want) {
+			t.Errorf("a dry run does not say %q: %s", want, out)
+		}
+	}
+	// A clock that is set by a file is for tests.
+	file := filepath.Join(g.dir, "n4.toml")
+	text = strings.ReplaceAll(string(must(os.ReadFile(filepath.Join(g.dir, "n1.toml")))), "n1", "n4")
+	check(t, os.WriteFile(file, []byte(text+"[test]\nclock = \"c\"\n"), 0o600))
+	g.must("keys", "issue", "n4")
+	g.expect(1, "for tests: take the line out", "serve", "--config", "n4.toml")
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// The night of a clock change, the 29th of February and the day that a place left out, in fast time, with
+// kills in the very hour; one clock that is off, by minutes and by an hour; one instance with older zone
+// rules. No occurrence comes twice, is left out, or is repeated where it may not be.
+func TestTriggersThroughNights(t *testing.T) {
+	for name, c := range map[string]struct {
+		story string
+		args  []string
+	}{
+		"clocks go back": {"1s kill leader\n1500ms stall n2 900ms\n2s start n1\n2100ms start n2\n" +
+			"2200ms start n3\n3s restart n2 300ms\n4s isolate n1\n5500ms heal",
+			[]string{"--clock", "2026-10-25T00:20:00Z", "--speed", "600"}},
+		"clocks go forward": {"500ms restart leader 400ms\n1500ms restart n2 100ms\n" +
+			"2500ms stall leader 800ms",
+			[]string{"--clock", "2026-03-29T00:40:00Z", "--speed", "400"}},
+		"leap day": {"1s restart leader 300ms\n3s cut n1 n2\n4s heal\n5s restart n3 200ms",
+			[]string{"--clock", "2028-02-28T22:30:00Z", "--speed", "600"}},
+		"clocks are off": {"500ms ahead n1 5m\n2s true n1\n2500ms ahead n1 1h\n4s behind n1 1h\n" +
+			"5s kill n2\n5500ms start n2\n6s true n1", nil},
+		"older rules": {"1s restart leader 300ms\n3s stall n1 900ms\n5s kill n2\n5500ms start n2",
+			[]string{"--old-rules", "n3"}},
+		"owners": {"500ms stall leader 700ms\n1500ms @proposed isolate it\n3s heal\n3500ms deaf leader\n" +
+			"5s heal\n5100ms stall n3 40ms\n5300ms torn n2 200ms", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := &group{t: t, dir: t.TempDir()}
+			check(t, os.WriteFile(filepath.Join(g.dir, "story.txt"), []byte(c.story), 0o600))
+			args := append([]string{"prove", "cluster", "--story", "story.txt", "--for", "8s", "--duties",
+				"0",
+				"--accounts", "0", "--triggers", "9", "--rate", "5"}, c.args...)
+			began := time.Now()
+			out, code := g.run(args...)
+			if code != 0 || !strings.Contains(out, ", 0 violations") {
+				t.Errorf("%v, exit %d: %s", time.Since(began), code, out)
+			}
+		})
+	}
+}
--- a/internal/agreement/image.go
+++ b/internal/agreement/image.go
@@ -114,5 +114,7 @@
 	for _, m := range im.Members {
 		s.members[m.ID] = m
 	}
+	// Hazard: the first entry after a snapshot must find the same owners as where there was none.
+	s.Settled()
 	return s, nil
 }
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -124,6 +124,7 @@
 	}
 	s.push(Revision{Revision: after + 1, ID: "first", Document: first})
 	s.plan()
+	s.Settled()
 	return s, nil
 }
 
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -131,7 +131,7 @@
 	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
 	Duties   *[]duty.Held        // what this instance holds, where that has changed
 	Standing *Standing           // how it stands where something is owned by placement, likewise
-	Fire     []schedule.Item     // what this instance is to fire, for as long as it has the session that they name
+	Fire     []schedule.Item     // what this instance is to fire, under the session that they name
 	Events   []schedule.Event    // what was agreed on of triggers, for audits
 }
 
--- a/internal/consensus/schedule.go
+++ b/internal/consensus/schedule.go
@@ -71,8 +71,8 @@
 	return i.ses.plans.leader.Fleet(i.ses.now, s, i.group())
 }
 
-// dated takes the fleet's time from the answer to a report. Hazard: an answer that was long on its way would
-// put the fleet's time back, and a later one must not be taken for an earlier.
+// dated takes the fleet's time from the answer to a report. Hazard: an answer that was long on its way
+// would put the fleet's time back, and a later one must not be taken for an earlier.
 func (i *Instance) dated(asked time.Duration, fleet int64) {
 	x := &i.ses.plans
 	if fleet != 0 && asked > x.asked {
@@ -128,8 +128,8 @@
 		case "retryable":
 			return true
 		case "dedup":
-			// Hazard: workers know a key for a time only, and for some classes only where the first attempt
-			// went, which nobody knows any more.
+			// Hazard: workers know a key for a time only, and for some classes only where the first
+			// attempt went, which nobody knows any more.
 			whole := c.KeyScope == "" || c.KeyScope == "all"
 			return whole && ago+time.Duration(c.GiveUp) < time.Duration(c.Window)
 		}
@@ -161,7 +161,8 @@
 }
 
 func encodeSchedule(c schedule.Command) []byte {
-	m := &schema.ScheduleCommand{Kind: uint32(c.Kind), Term: c.Term, Member: c.Seat.Member, Epoch: c.Seat.Epoch,
+	m := &schema.ScheduleCommand{Kind: uint32(c.Kind), Term: c.Term, Member: c.Seat.Member,
+		Epoch:   c.Seat.Epoch,
 		Version: c.Version, Now: c.Now, Zones: c.Zones, Off: c.Off}
 	for _, s := range c.Over {
 		m.Over = append(m.Over, &schema.Seat{Member: s.Member, Epoch: s.Epoch})
--- /dev/null
+++ b/internal/consensus/schedule_test.go
@@ -0,0 +1,134 @@
+package consensus
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"moorstack/internal/calendar"
+	"moorstack/internal/placement"
+	"moorstack/internal/schedule"
+	"moorstack/internal/schema"
+)
+
+func commandOf(t testing.TB, b []byte) schedule.Command {
+	m := &schema.Change{}
+	if err := proto.Unmarshal(b, m); err != nil {
+		t.Fatal(err)
+	}
+	return decodeSchedule(m.Schedule)
+}
+
+// What is packed comes out as it was.
+func TestScheduleCommandsArePacked(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := schedule.Command{Kind: schedule.Kind(rapid.IntRange(1, 4).Draw(r, "kind")),
+			Now: rapid.Int64Range(0, 1<<33).Draw(r, "now"), Version: rapid.Uint64().Draw(r, "version"),
+			Seat: schedule.Seat{Member: rapid.Uint64().Draw(r, "member"), Epoch: 7}}
+		for range rapid.IntRange(0, 5).Draw(r, "steps") {
+			c.Steps = append(c.Steps, schedule.Step{Shard: rapid.IntRange(0, placement.Shards-1).Draw(r,
+				"shard"),
+				Version: rapid.Uint64().Draw(r, "of")})
+		}
+		for range rapid.IntRange(0, 5).Draw(r, "dues") {
+			at := rapid.Int64Range(0, 1<<33).Draw(r, "at")
+			c.Dues = append(c.Dues, schedule.Due{Trigger: rapid.IntRange(0, 99_999).Draw(r, "trigger"),
+				At:     at,
+				Name:   calendar.Name(rapid.Uint64Range(0, 1<<50).Draw(r, "name")),
+				Wall:   at + rapid.Int64Range(-86400, 86400).Draw(r, "offset"),
+				Passed: rapid.IntRange(0, 10_000).Draw(r, "passed")})
+		}
+		for range rapid.IntRange(0, 5).Draw(r, "numbers") {
+			c.Numbers = append(c.Numbers, rapid.Uint64Range(0, 1<<60).Draw(r, "number"))
+			c.Results = append(c.Results, schedule.Result(rapid.IntRange(0, 4).Draw(r, "result")))
+		}
+		if got := commandOf(t, encodeSchedule(c)); !reflect.DeepEqual(got, c) {
+			r.Fatalf("%+v\n%+v", got, c)
+		}
+	})
+}
+
+// crowd has owners go through two minutes of triggers that come each minute, and gives the bytes in the log for
+// each firing, and how long the deciding and applying at one of them took in the second one.
+func crowd(t testing.TB, triggers, instances int) (bytes float64, took time.Duration) {
+	words := map[string]string{"zone": "Asia/Muscat"}
+	for n := range triggers {
+		words[fmt.Sprintf("trigger.standing-%06d", n)] = "* * * * * class=c"
+	}
+	p, wrong := schedule.ReadPolicy(words, schedule.Names{Classes: []string{"c"}})
+	if len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	zones := calendar.NewZones()
+	var members []placement.Member
+	var states []*schedule.State
+	var owners []*schedule.Owner
+	for n := range instances {
+		members = append(members, placement.Member{Seat: placement.Seat{Member: uint64(n + 1),
+			Epoch: uint64(n + 1)}})
+		states, owners = append(states, schedule.NewState()), append(owners, schedule.NewOwner(zones))
+	}
+	begin := time.Date(2026, 3, 1, 0, 0, 30, 0, time.UTC).Unix()
+	log, firings := 0, 0
+	agree := func(c schedule.Command) {
+		b := encodeSchedule(c)
+		log += len(b)
+		for _, s := range states {
+			_ = s.Apply(commandOf(t, b))
+		}
+	}
+	for n := range states {
+		states[n].Configure(&p)
+		states[n].Seated(members)
+		owners[n].Configure(&p)
+	}
+	agree(schedule.Command{Kind: schedule.Declare, Version: p.Version, Zones: owners[0].Rules(), Now: begin})
+	log = 0
+	mono := time.Second
+	turn := func(now int64) {
+		began := time.Now()
+		for n, o := range owners {
+			mono += time.Millisecond
+			seat := members[n].Seat
+			for _, c := range o.Look(states[n], schedule.View{Mono: mono, Fleet: now, Seat: seat,
+				Lease: time.Second}) {
+				agree(c)
+			}
+			for _, i := range states[n].Fresh(seat, false) {
+				firings++
+				o.Result(i.Number, seat, schedule.Done)
+			}
+		}
+		took = time.Since(began)
+	}
+	for minute := range int64(2) {
+		turn(begin + 60*minute + 31)
+		last := took
+		turn(begin + 60*minute + 32)
+		took += last
+	}
+	if firings != 2*triggers || states[0].OpenCount() != 0 ||
+		states[0].Counts[schedule.Done] != uint64(firings) {
+		t.Errorf("%d firings of %d triggers, %d open", firings, triggers, states[0].OpenCount())
+	}
+	return float64(log) / float64(firings), took / time.Duration(instances)
+}
+
+// A firing, its intent and its outcome together, costs few bytes of the log however many there are.
+func TestBytesOfAFiring(t *testing.T) {
+	triggers := 3000
+	if os.Getenv("CROWD") != "" {
+		triggers = 100_000
+	}
+	bytes, took := crowd(t, triggers, 5)
+	t.Logf("%d triggers of a minute at 5 instances: %.1f bytes of the log a firing, %v of one processor at each",
+		triggers, bytes, took)
+	if bytes > 64 {
+		t.Errorf("%.1f bytes of the log a firing", bytes)
+	}
+}
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -173,8 +173,8 @@
 
 // tick says what is to be said of slices.
 //
-// Hazard: the process may have stood still before this turn. The right is looked at with the clock as it is
-// now, and what goes out ends at its front by a time that the front read itself.
+// Hazard: the process may have stood still before this turn. The right is looked at with the clock as it
+// is now, and what goes out ends at its front by a time that the front read itself.
 func (r *rates) tick() {
 	p := r.front.Policy()
 	r.timer = r.i.node.loop.After(p.Tick, r.tick)
@@ -272,7 +272,8 @@
 // heard takes another instance's word. It is called on a goroutine of the peers' network.
 func (r *rates) heard(from uint64, m *schema.RateMessage) {
 	r.i.node.loop.Post(func() {
-		// Hazards: words on another configuration's buckets, and words from or for a session that is no more.
+		// Hazards: words on another configuration's buckets, and words from or for a session that is no
+		// more.
 		if m.Version != r.front.Policy().Version || m.Version == 0 || m.ToEpoch != r.own.Epoch {
 			return
 		}
--- a/internal/node/testclock.go
+++ b/internal/node/testclock.go
@@ -14,8 +14,8 @@
 // refused.
 const TestClocks = "MOORSTACK_TEST_CLOCKS"
 
-// testClock is a wall clock that a test sets, by a file: at Boot on the clock that nobody sets it shows Wall,
-// and from there it runs Rate times as fast.
+// testClock is a wall clock that a test sets, by a file: at Boot on the clock that nobody sets it shows
+// Wall, and from there it runs Rate times as fast.
 type testClock struct {
 	Wall int64   `json:"wall_ns"` // Unix time
 	Boot int64   `json:"boot_ns"`
@@ -39,10 +39,13 @@
 		return calendar.NewZones(), nil
 	}
 	if os.Getenv(TestClocks) != "yes" {
-		return nil, fmt.Errorf("other zone rules are for tests: take the line out, or start the program with "+
-			"%s=yes", TestClocks)
+		return nil, fmt.Errorf("other zone rules are for tests: take the line out, or start the program "+
+			"with %s=yes", TestClocks)
 	}
-	return calendar.ZonesBy(func(string) (*time.Location, error) { return time.LoadLocation(c.Test.Zones) }), nil
+	return calendar.ZonesBy(func(string) (*time.Location,
+		error) {
+		return time.LoadLocation(c.Test.Zones)
+	}), nil
 }
 
 // wallClock is the clock that the configuration names, or the machine's.
--- a/internal/node/triggers.go
+++ b/internal/node/triggers.go
@@ -19,8 +19,8 @@
 	"moorstack/internal/schedule"
 )
 
-// triggers fire what this instance has intended. All but the counters belongs to the node's loop: a job is
-// begun in the turn in which the clock was looked at.
+// triggers fire what this instance has intended. All but the counters belongs to the node's loop: a job
+// is begun in the turn in which the clock was looked at.
 type triggers struct {
 	i        *Instance
 	log      logrus.FieldLogger
@@ -83,7 +83,7 @@
 	t.policy = p
 	t.i.gate.note("triggers %d", p.Version)
 	t.log.WithFields(logrus.Fields{"triggers": len(p.Triggers),
-		"zones": fmt.Sprintf("%x", t.i.zones.Version(p.ZoneNames()))}).Info("triggers are kept")
+		"zones": fmt.Sprintf("%016x", t.i.zones.Version(p.ZoneNames()))}).Info("triggers are kept")
 }
 
 // stands takes the agreement's word on this instance's session. It is called on the loop.
@@ -98,8 +98,8 @@
 		for _, item := range items {
 			f := t.known[item.Number]
 			if f != nil && f.open {
-				// Hazard: this session has ended while the job was out, and the next one has taken it over: the job
-				// that is out is the one.
+				// Hazard: this session has ended while the job was out, and the next one has taken it
+				// over: the job that is out is the one.
 				f.Item = item
 				continue
 			}
@@ -248,7 +248,7 @@
 	if err != nil || len(plans) == 0 {
 		return nil, err
 	}
-	lines := []string{fmt.Sprintf("zone rules here: zones = \"%x\"", i.zones.Version(p.ZoneNames()))}
+	lines := []string{fmt.Sprintf("zone rules here: zones = \"%016x\"", i.zones.Version(p.ZoneNames()))}
 	for k, plan := range plans[:min(len(plans), 50)] {
 		t := &p.Triggers[k]
 		if t.Paused {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -27,6 +27,7 @@
 	"moorstack/internal/control"
 	"moorstack/internal/emulate"
 	"moorstack/internal/keys"
+	"moorstack/internal/node"
 	"moorstack/internal/schema"
 	"moorstack/internal/stage"
 )
@@ -43,6 +44,12 @@
 	Seed      uint64
 	Drills    int // duties to practise with
 	Accounts  int // whose rates are kept over all instances; 0: none
+	Triggers  int // that fire over all of them; 0: none
+	// Clock is what all instances' clocks show at the beginning, and Speed how fast they run; the
+	// machine's own, if it is zero. OldRules is who has other zone rules than the rest.
+	Clock    time.Time
+	Speed    float64
+	OldRules string
 }
 
 // Process is an instance's process.
@@ -70,6 +77,8 @@
 
 	mu       sync.Mutex
 	watchers map[chan entry]bool // of the journals
+	took     map[string]int      // jobs that workers have taken, by key
+	clock    clockFile           // the true one
 }
 
 // Names of a fleet's instances.
@@ -86,7 +95,11 @@
 	if o.Voters == 0 {
 		o.Voters = min(o.Instances, 5)
 	}
-	f := &Fleet{o: o, Links: NewLinks(), watchers: map[chan entry]bool{}}
+	if o.Speed == 0 {
+		o.Speed = 1
+	}
+	f := &Fleet{o: o, Links: NewLinks(), watchers: map[chan entry]bool{}, took: map[string]int{}}
+	f.clock = newClock(o)
 	err := f.prepare()
 	for _, p := range f.List {
 		if err == nil {
@@ -156,7 +169,7 @@
 	discovery := ""
 	if f.o.Rate > 0 {
 		if p.stage, err = stage.Start(stage.Options{Node: p.Front, Workers: 2, Zone: "z", Kind: "k",
-			Seed: f.o.Seed,
+			Seed: f.o.Seed, Took: f.taken,
 			Spec: emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
 				ColdShare: 1, Refresh: 200 * time.Millisecond}}); err != nil {
 			return err
@@ -167,11 +180,17 @@
 		"name = %q\ndata = %[1]q\naudit = \"%[1]s.audit\"\n[front]\nplatform = \"platform.json\"\n"+
 			"listen = %[2]q\n%[3]s[peers]\nlisten = %[4]q\nadvertise = %[5]q\nfrom = %[6]q\ntick = %[7]q\n"+
 			"[keys]\nca = \"keys/ca.crt\"\ncert = \"keys/%[1]s.crt\"\nkey = \"keys/%[1]s.key\"\n"+
-			"[control]\nsocket = \"%[1]s.sock\"\n",
+			"[control]\nsocket = \"%[1]s.sock\"\n[test]\nclock = \"%[1]s.clock\"\n",
 		name, p.Front, discovery, listen, p.Peers, host, f.o.Tick)
+	if name == f.o.OldRules {
+		text += "zones = \"Etc/GMT-1\"\n"
+	}
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		return err
 	}
+	if err := f.SetClock(p, 0); err != nil {
+		return err
+	}
 	if p.journal, err = newJournal(filepath.Join(f.o.Dir, name+".audit"), name, f.noted); err != nil {
 		return err
 	}
@@ -188,6 +207,7 @@
 	}
 	cmd := exec.Command(f.o.Program, "serve", "--config", p.file)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.Env = append(os.Environ(), node.TestClocks+"=yes")
 	// Hazard: were this program killed itself, the instances would go on for ever.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -444,7 +464,8 @@
 		"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1",
 		"limits": map[string]any{"memory_mb": 64, "sockets": 256},
 		"settings": map[string]any{"zones": []string{"z"}, "kinds": []string{"k"}, "fleet_size": 1,
-			"classes": []any{class("trip-quote", "retryable"), class("trip-book", "dedup")},
+			"classes": []any{class("trip-quote", "retryable"), class("trip-book", "dedup"),
+				class("trip-once", "fragile")},
 			"tenants": []any{map[string]any{"name": "muscat", "share": 1}},
 			"blend":   map[string]any{"whole": 1}, "membership_mode": "on_request", "worth_by": "work",
 			"granularity": 5_000_000,
--- a/internal/rig/rates.go
+++ b/internal/rig/rates.go
@@ -33,13 +33,13 @@
 type rated struct {
 	broken   []string
 	admitted int
-	// use is the part of what the accounts' rates allow that was admitted, from each one's first admission to
-	// its last.
+	// use is the part of what the accounts' rates allow that was admitted, from each one's first
+	// admission to its last.
 	use float64
 }
 
-// auditRates looks, for each bucket, for a window in which more was admitted at all instances together than
-// the rate and the burst allow: what a bucket that each admission takes a job from does not have.
+// auditRates looks, for each bucket, for a window in which more was admitted at all instances together
+// than the rate and the burst allow: what a bucket that each admission takes a job from does not have.
 //
 // Instances say by which words on rates they admit. A rate that is changed is another bucket: no instance
 // admits under one configuration after another has under a later one, which auditPolicies looks at.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
 	"moorstack/internal/duty"
 	"moorstack/internal/ratelimit"
+	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 )
 
@@ -48,6 +50,7 @@
 	Rated    int           `json:"rated"` // admissions of accounts whose rate is kept
 	// RateUse is the part of what the accounts' rates allow that was admitted.
 	RateUse float64 `json:"rate_use"`
+	Fired   Fired   `json:"fired"`
 	// in which nobody acted in a duty that went from one to another
 	Gaps       []time.Duration `json:"gaps_ns"`
 	Jobs       Jobs            `json:"jobs"`
@@ -140,11 +143,11 @@
 	err := p.changes(ctx, began)
 	ended()
 	story.Wait()
-	healed := time.Now()
+	healed, healedAt := time.Now(), consensus.Boottime()
 	p.Links.Heal()
 	for _, x := range p.List {
 		p.Stall(x, false)
-		err = errors.Join(err, p.Start(x))
+		err = errors.Join(err, p.Start(x), p.SetClock(x, 0))
 	}
 	if err == nil {
 		if err := p.Well(ctx); err != nil {
@@ -152,6 +155,9 @@
 		}
 	}
 	p.res.Back = time.Since(healed)
+	if err == nil && p.Triggers > 0 {
+		p.settled(ctx, healedAt)
+	}
 	stop()
 	load.Wait()
 	p.res.Seconds = time.Since(began).Seconds()
@@ -235,13 +241,19 @@
 				}
 				words := rateWords(p.Accounts, p.Instances, n/30)
 				doc.Sections[ratelimit.Section] = words
-				policy, wrong := ratelimit.ReadPolicy(words, []string{"trip-quote", "trip-book"})
+				policy, wrong := ratelimit.ReadPolicy(words, classNames)
 				if len(wrong) > 0 {
 					stop()
 					return fmt.Errorf("the rig's own words on rates: %v", wrong)
 				}
 				p.rates[policy.Version] = policy
 			}
+			if p.Triggers > 0 {
+				if doc.Sections == nil {
+					doc.Sections = map[string]map[string]string{}
+				}
+				doc.Sections[schedule.Section] = triggerWords(p.Options)
+			}
 			at = time.Now()
 			try = 0
 		}
@@ -340,7 +352,12 @@
 	p.res.Acts, p.res.Gaps = acts, gaps
 	rated := auditRates(all, p.rates)
 	p.res.Rated, p.res.RateUse = rated.admitted, rated.use
-	for _, b := range slices.Concat(broken, acted, rated.broken) {
+	var fired fired
+	if p.Triggers > 0 {
+		fired = p.auditTriggers(all)
+		p.res.Fired = fired.Fired
+	}
+	for _, b := range slices.Concat(broken, acted, rated.broken, fired.broken) {
 		p.violate("%s", b)
 	}
 	if p.Accounts > 0 && p.Rate > 0 && rated.admitted == 0 {
--- a/internal/rig/story.go
+++ b/internal/rig/story.go
@@ -49,6 +49,9 @@
 	"start":   {who: 1, says: "it is started again, on its directory"},
 	"full": {who: 1, span: true,
 		says: "its disk is full for so long; then there is room, and it is started again"},
+	"ahead":   {who: 1, span: true, says: "its wall clock is set so far ahead of the true one"},
+	"behind":  {who: 1, span: true, says: "its wall clock is set so far behind the true one"},
+	"true":    {who: 1, says: "its wall clock is set right"},
 	"hand-on": {who: 1, says: "an operator, who asks it, has the first duty go to it"},
 	"torn": {who: 1, span: true,
 		says: "it dies in the midst of a write, of which a part is on its disk; started after so long"},
@@ -267,6 +270,13 @@
 			add(at+time.Duration(100+rng.IntN(2500))*time.Millisecond, "heal", 0)
 			continue
 		}
+		if rng.IntN(12) == 0 {
+			// One clock of the group is off at a time.
+			span := []time.Duration{800 * time.Millisecond, 5 * time.Minute, time.Hour}[rng.IntN(3)]
+			add(at, []string{"ahead", "behind"}[rng.IntN(2)], span, names[0])
+			add(at+time.Duration(500+rng.IntN(4000))*time.Millisecond, "true", 0, names[0])
+			continue
+		}
 		switch k := rng.IntN(16); k {
 		case 0, 1, 2, 3:
 			// From 5 ms to some leases.
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -107,6 +107,14 @@
 		p.Links.set(who[0], who[1], func(w *way) { w.bandwidth = f.Rate })
 	case "heal":
 		p.Links.Heal()
+	case "ahead", "behind", "true":
+		off := f.For
+		if f.Kind == "behind" {
+			off = -off
+		}
+		if err := p.SetClock(p.Named(who[0]), off); err != nil {
+			p.violate("the clock of %s can't be set: %v", who[0], err)
+		}
 	case "stall":
 		x := p.Named(who[0])
 		p.Stall(x, true)
--- a/internal/schedule/leader.go
+++ b/internal/schedule/leader.go
@@ -111,7 +111,7 @@
 		if why := l.apart(now, s, m.Member, all, p.Bound, g.Lease); why != "" {
 			c.Off[m.Member] = why
 		} else if heard && r.Version == p.Version && r.Zones != zones {
-			c.Off[m.Member] = fmt.Sprintf("its zone rules are %x, the group's %x", r.Zones, zones)
+			c.Off[m.Member] = fmt.Sprintf("its zone rules are %016x, the group's %016x", r.Zones, zones)
 		}
 	}
 	for _, seat := range g.Over {
--- a/internal/schedule/policy.go
+++ b/internal/schedule/policy.go
@@ -99,7 +99,7 @@
 		case key == "zone":
 			zone = text
 		case key == "zones":
-			if p.Zones, err = strconv.ParseUint(text, 16, 64); err != nil || p.Zones == 0 {
+			if p.Zones, err = strconv.ParseUint(text, 16, 64); err != nil || len(text) != 16 || p.Zones == 0 {
 				bad("zones: %q is no version of zone rules, as \"config propose --dry-run\" shows it", text)
 			}
 		case key == "bound":
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -31,6 +31,8 @@
 	Zone    string
 	Kind    string
 	Seed    uint64
+	// Took, where it is set, is told the key of each job that a worker takes. It must not wait.
+	Took func(key string)
 }
 
 // Stage is workers and a list service that listen.
@@ -185,6 +187,9 @@
 func (w *worker) take(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	id := r.Header.Get("X-Request-ID")
+	if w.s.o.Took != nil {
+		w.s.o.Took(id)
+	}
 	if err != nil || id == "" {
 		rw.WriteHeader(http.StatusNotFound)
 		return
