--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -116,8 +116,10 @@
 	// The program is renewed, with rules by which it is 06:10.
 	w.owner = NewOwner(after)
 	w.words(t, words, unix("2026-06-01T03:10Z"))
-	if got := fmt.Sprint(w.look(unix("2026-06-01T04:40Z"))); got != "[c@2026-06-01T07:30]" {
-		t.Errorf("by the new rules, at 07:40: %s", got)
+	for _, c := range [][2]string{{"03:35", "[]"}, {"04:05", "[]"}, {"04:35", "[c@2026-06-01T07:30]"}} {
+		if got := fmt.Sprint(w.look(unix("2026-06-01T" + c[0] + "Z"))); got != c[1] {
+			t.Errorf("by the new rules, at %s: %s; wanted %s", c[0], got, c[1])
+		}
 	}
 	if w.Number != 3 {
 		t.Errorf("%d were intended, the day has three", w.Number)
--- a/internal/schedule/stories_test.go
+++ b/internal/schedule/stories_test.go
@@ -36,6 +36,7 @@
 	jump   time.Duration // of all clocks
 	// All clocks have stepped forward once: the fleet's time is ahead of the true one for good.
 	stepped bool
+	gone    map[Seat]bool // sessions that have ended
 }
 
 type entry struct {
@@ -103,7 +104,7 @@
 
 func newStory(t testing.TB, seed uint64) *story {
 	s := &story{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 31)), zones: calendar.NewZones(),
-		acts: map[string][]act{}, truth: NewState(), speed: 1}
+		acts: map[string][]act{}, gone: map[Seat]bool{}, truth: NewState(), speed: 1}
 	// Some begin on a night in which the clocks change, or before a leap day.
 	begins := []string{"2026-03-29T00:59Z", "2026-10-25T00:29Z", "2028-02-28T23:59Z", "2026-06-01T03:59Z",
 		"2028-02-29T23:59Z", "2026-10-25T00:59Z"}
@@ -141,7 +142,7 @@
 		v["bound"] = "1s"
 	}
 	if set%2 == 1 {
-		v["trigger.e"] = every + " class=any late=24h fold=both"
+		v["trigger.A"] = every + " class=any late=24h fold=both"
 	}
 	p, wrong := ReadPolicy(v, Names{Classes: []string{"any", "once", "key"}})
 	if len(wrong) > 0 {
@@ -161,8 +162,19 @@
 			}
 		}
 	}
+	for _, x := range e.gone {
+		s.gone[x] = true
+	}
 	s.log = append(s.log, e)
+	before := s.truth.OpenItems()
 	apply(s.truth, e)
+	for _, i := range before {
+		now, open := s.truth.Open(i.Number)
+		taken := open && now.Seat != i.Seat || !open && e.c.Kind == Resolve
+		if taken && !s.gone[i.Seat] {
+			s.t.Errorf("seed %d: %s was taken from a session that had not ended", s.seed, i.Key())
+		}
+	}
 	s.truth.Fresh(Seat{}, false)
 }
 
