Share workers in a group: even subsets that move little, parts of cold budgets that add up

What instances decide alone about workers did not add up when the group changed: the parts of a cold worker's budget came from a number in each file, and each instance had connections to all workers. Ruled out: rounds of shuffled lists (a leave in the middle moves nearly all), the best of each by hash alone (uneven).

placement.Subset gives each worker as many instances as any other of its zone, give or take one; beyond its subset a core gives nothing new. placement.Parts: who learns of a change of the set has no part until nobody can act by the set before it. Both off by default, by the agreed section workers.

--- a/brain/state.go
+++ b/brain/state.go
@@ -204,6 +204,9 @@
 func (b *Balancer) Configure(set Settings) {
 	b.set.Classes = slices.Clone(set.Classes)
 	b.set.Tenants = slices.Clone(set.Tenants)
+	// Dispatchers that agree with each other come and go, and their parts with them.
+	b.set.Me, b.set.Fleet = set.Me, max(set.Fleet, 1)
+	b.set.Rules.OverloadFactor = set.Rules.OverloadFactor
 	b.patience = b.set.Classes[0].Deadline
 	for _, c := range b.set.Classes {
 		b.patience = min(b.patience, c.Deadline)
--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -28,6 +28,7 @@
 	backups bool
 	// Where fronts find discovery; the platform file's, if empty.
 	discovery string
+	fronts    map[string]string // where they listen, if it must be known before
 }
 
 func newGroup(t *testing.T) *group {
@@ -78,7 +79,10 @@
 	if g.addr[name] == "" {
 		g.addr[name], g.tls[name] = freeAddress(g.t), freeAddress(g.t)
 		g.must("keys", "issue", name)
-		discovery := ""
+		discovery, front := "", g.fronts[name]
+		if front == "" {
+			front = freeAddress(g.t)
+		}
 		if g.discovery != "" {
 			discovery = fmt.Sprintf("discovery = %q\n", g.discovery)
 		}
@@ -97,7 +101,7 @@
 [control]
 socket = "%[1]s.sock"
 listen = %[4]q
-`, name, freeAddress(g.t), g.addr[name], g.tls[name], discovery), 0o600))
+`, name, front, g.addr[name], g.tls[name], discovery), 0o600))
 	}
 	if g.backups && g.proc[name] == nil {
 		f, err := os.OpenFile(file, os.O_APPEND|os.O_WRONLY, 0)
--- a/internal/core/ban.go
+++ b/internal/core/ban.go
@@ -103,7 +103,7 @@
 	if h == nil || h.gone {
 		return
 	}
-	w := c.bans.over(name, h.listed)
+	w := c.over(name, h.listed)
 	c.do(func() {
 		c.bal.Members(c.clock.Now(), brain.Changes, []brain.Worker{w})
 		if back {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -149,6 +150,7 @@
 	NextHop
 	id   brain.WorkerID
 	name string
+	zone string
 	out  int
 	gone bool
 
@@ -167,8 +169,10 @@
 	hops     map[brain.WorkerID]*hop
 	ids      map[string]brain.WorkerID
 	bans     bans
-	gate     Gate // nil: all are let in
-	waiting  int  // transactions without their final answer
+	uses     map[string]bool // who is given work; nil: all
+	onList   func()          // after each change of the route set; may be nil
+	gate     Gate            // nil: all are let in
+	waiting  int             // transactions without their final answer
 	queue    []func()
 	busy     bool
 }
@@ -366,11 +370,11 @@
 		if e.Hop != nil {
 			h.NextHop = e.Hop
 		}
-		h.gone = e.State == brain.Removed
+		h.gone, h.zone = e.State == brain.Removed, strconv.Itoa(e.Zone)
 		h.listed = brain.Worker{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State,
 			Size: e.Size, Since: e.Since, Labels: e.Labels}
 		c.bans.listed(e.Name)
-		list = append(list, c.bans.over(e.Name, h.listed))
+		list = append(list, c.over(e.Name, h.listed))
 	}
 	for id, h := range c.hops {
 		if (kind == brain.Whole || kind == brain.Cached) && !named[id] {
@@ -383,6 +387,9 @@
 			c.drop(h)
 		}
 	})
+	if c.onList != nil {
+		c.onList()
+	}
 }
 
 // drop forgets a next hop that has left the route set and has no branch.
--- a/internal/emulate/scenario.go
+++ b/internal/emulate/scenario.go
@@ -37,7 +37,10 @@
 	List string `toml:"list"`
 	// DrainGrace is how long new work may go to a worker that is told as draining; 1 s, if not given.
 	DrainGrace Duration `toml:"drain_grace"`
-	Probes     *bool    `toml:"probes"` // load reports come by probes; yes, if not given
+	// Subset is how many of the workers each node uses; 0: all.
+	Subset int `toml:"subset"`
+
+	Probes *bool `toml:"probes"` // load reports come by probes; yes, if not given
 
 	Classes  []ClassSpec   `toml:"class"`
 	Workers  []WorkerGroup `toml:"workers"`
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -11,6 +11,7 @@
 
 	"moorstack/brain"
 	"moorstack/internal/core"
+	"moorstack/internal/placement"
 )
 
 // World is a run of a scenario.
@@ -164,6 +165,9 @@
 	if n.core, err = core.New(set, seed, n.clock, dir, n.w.log); err != nil {
 		panic(fmt.Sprintf("emulate: a node can't be made: %v", err)) // check has tried it
 	}
+	if n.w.sc.Subset > 0 {
+		n.core.OnList(n.choose)
+	}
 	n.known = map[string]core.Entry{}
 	n.learn(known)
 	n.w.watch.told(n, brain.Cached, known)
@@ -171,6 +175,19 @@
 	dir.open()
 }
 
+// choose has the node use its subset of the workers that it knows.
+func (n *Node) choose() {
+	var members []placement.Member
+	for k := range n.w.sc.Nodes {
+		members = append(members, placement.Member{Seat: placement.Seat{Member: uint64(k + 1)}})
+	}
+	var list []placement.Worker
+	for _, l := range n.core.Listings() {
+		list = append(list, placement.Worker{Name: l.Name, Zone: l.Zone})
+	}
+	n.core.Use(placement.Subset(members, members[n.number].Seat, list, n.w.sc.Subset))
+}
+
 // learn keeps what the node was told of the list.
 func (n *Node) learn(list []core.Entry) {
 	for _, e := range list {
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -20,6 +20,7 @@
 	refused atomic.Uint64
 	journal *os.File // what it admits, for audits; nil: none
 	rates   *rates   // nil: no rate is kept over all fronts
+	shares  *shares
 }
 
 var _ core.Gate = (*gate)(nil)
@@ -35,6 +36,7 @@
 	// is read here and now, whatever any timer has said, and this moment is when the job is
 	// admitted or not.
 	now := consensus.Boottime()
+	g.shares.look(now)
 	if g.permit.May(now, g.running) {
 		if no, ok := g.rates.take(now, t); !ok {
 			return no, false
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -22,6 +22,7 @@
 	"moorstack/internal/duty"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
+	"moorstack/internal/placement"
 	"moorstack/internal/ratelimit"
 	"moorstack/internal/rollout"
 	"moorstack/internal/routing"
@@ -50,6 +51,7 @@
 	lists   *hub
 	rates   *rates
 	plans   *triggers
+	shares  *shares
 	zones   *calendar.Zones
 
 	mu      sync.Mutex
@@ -91,7 +93,8 @@
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
 	i.keeper, i.rates, i.plans = newKeeper(i), newRates(i), newTriggers(i)
-	i.gate.rates = i.rates
+	i.shares = newShares(i)
+	i.gate.rates, i.gate.shares = i.rates, i.shares
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
 	}
@@ -150,7 +153,10 @@
 		Duties: func(held []duty.Held) { i.keeper.tell(held) },
 		Standing: func(s consensus.Standing) {
 			i.rates.stands(s)
-			i.node.loop.Post(func() { i.plans.stands(s) })
+			i.node.loop.Post(func() {
+				i.plans.stands(s)
+				i.shares.stands(s)
+			})
 		}, Fire: i.plans.fire, Events: i.plans.audited, Labels: cfg.labels()})
 	if err != nil {
 		return err
@@ -170,6 +176,9 @@
 		return err
 	}
 	i.rates.open()
+	for k := range i.node.cores {
+		i.node.cores[k].OnList(i.shares.choose)
+	}
 	// What was agreed on last is what the fronts run. They admit nothing under it before the group
 	// has said that it is in force still.
 	if r, ok := i.runner.Agreed(); ok {
@@ -331,10 +340,12 @@
 		t, err = i.termsOf(r.Document)
 	}
 	if err == nil {
+		shared, settings := sharesOf(r.Document), t.Settings
 		limits, planned := limitsOf(r.Document), triggersOf(r.Document)
 		t.Revision = func() {
 			i.rates.configure(limits)
 			i.plans.configure(&planned, r.Document)
+			i.shares.configure(shared, settings)
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
@@ -369,7 +380,11 @@
 // own, and not checked here.
 func Rules() agreement.Rules {
 	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes,
-		ratelimit.Section: checkRates}}
+		ratelimit.Section: checkRates,
+		placement.Section: func(_ *agreement.Document, values map[string]string) []string {
+			_, wrong := placement.ReadPolicy(values)
+			return wrong
+		}}}
 }
 
 func checkRoutes(d *agreement.Document, values map[string]string) []string {
--- /dev/null
+++ b/internal/node/shares.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/brain"
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/net"
+	"moorstack/internal/placement"
+	"moorstack/internal/rollout"
+)
+
+// shares are an instance's part in what the group shares of workers: which ones it uses, and which part
+// of a cold one's budget is its own. All of it belongs to the node's loop.
+type shares struct {
+	i        *Instance
+	log      logrus.FieldLogger
+	policy   placement.Policy
+	set      brain.Settings // as the fronts run them, parts apart
+	standing consensus.Standing
+	view     placement.View
+	parts    placement.Parts
+	part     [3]int // me, of, and whether there is one, as the module was told last
+	timer    *net.Timer
+	turn     int // of what is being worked out; older ones come too late
+}
+
+func newShares(i *Instance) *shares {
+	return &shares{i: i, log: i.log.WithField("part", "shares")}
+}
+
+func sharesOf(d *agreement.Document) placement.Policy {
+	p, _ := placement.ReadPolicy(d.Sections[placement.Section])
+	return p
+}
+
+// configure takes over what the configuration in force says, in the turn in which the fronts run it.
+func (s *shares) configure(p placement.Policy, set brain.Settings) {
+	was := s.policy
+	s.policy, s.set, s.part = p, set, [3]int{}
+	s.apportion()
+	if was.Subset != p.Subset {
+		s.choose()
+	}
+	if p.Parts || p.Subset > 0 {
+		s.log.WithFields(logrus.Fields{"subset": p.Subset,
+			"parts": p.Parts}).Info("workers are shared in the group")
+	}
+}
+
+// stands takes the agreement's word on who is there. It is called on the loop.
+func (s *shares) stands(x consensus.Standing) {
+	now := consensus.Boottime()
+	s.standing = x
+	for _, v := range x.Views {
+		// Others may act by the view before for a lease of theirs, by clocks at other paces.
+		s.parts.View(now, v, x.Own, rollout.Wait(x.Lease))
+		s.view = v
+	}
+	s.apportion()
+	if len(x.Views) > 0 {
+		s.choose()
+	}
+}
+
+// apportion tells the modules which part of a cold worker's budget is this instance's, where that has
+// changed.
+//
+// Hazard: one that stands still, or is cut off, learns nothing of others that have come. Its part ends
+// with its lease, so this is looked at again when that ends.
+func (s *shares) apportion() {
+	s.timer.Stop()
+	if !s.policy.Parts || len(s.set.Classes) == 0 {
+		return
+	}
+	now := consensus.Boottime()
+	me, of, ok := s.parts.Part(now, s.standing.Until)
+	part := [3]int{me, of, 1}
+	set := s.set
+	if ok {
+		set.Me, set.Fleet = me, of
+	} else {
+		part = [3]int{0, 0, 2}
+		// Nothing: a factor of 0 would be no bound at all.
+		set.Rules.OverloadFactor = min(set.Rules.OverloadFactor, leastFactor)
+	}
+	if part != s.part {
+		s.part = part
+		for k := range s.i.node.cores {
+			c := &s.i.node.cores[k]
+			fitted := c.fit(set)
+			if err := c.CanConfigure(fitted); err != nil {
+				s.log.WithError(err).Error("the part of cold workers' budgets stays as it was")
+				return
+			}
+			c.Configure(fitted)
+		}
+		s.i.gate.note("part %d %d", of, part[2])
+	}
+	s.timer = s.i.node.loop.After(lookAgain, s.apportion)
+}
+
+// look ends this instance's part before a job that came while it stood still is worked on.
+func (s *shares) look(now time.Duration) {
+	if s.part[2] == 1 && now >= s.standing.Until {
+		s.apportion()
+	}
+}
+
+const (
+	leastFactor = 1e-9
+	lookAgain   = 50 * time.Millisecond
+)
+
+// choose works out which workers this instance uses, and has the cores use them.
+func (s *shares) choose() {
+	s.turn++
+	for k := range s.i.node.cores {
+		c := &s.i.node.cores[k]
+		if s.policy.Subset == 0 || s.standing.Own == (placement.Seat{}) {
+			c.Use(nil)
+			continue
+		}
+		var list []placement.Worker
+		for _, l := range c.Listings() {
+			list = append(list, placement.Worker{Name: l.Name, Zone: l.Zone})
+		}
+		turn, members, own, size := s.turn, s.view.Members, s.standing.Own, s.policy.Subset
+		// Hazard: for hundreds of instances and thousands of workers this takes longer than a job may
+		// wait.
+		go func() {
+			use := placement.Subset(members, own, list, size)
+			s.i.node.loop.Post(func() {
+				if s.turn != turn {
+					return
+				}
+				c.Use(use)
+				s.i.gate.note("uses %d of %d", c.Used(), len(list))
+			})
+		}()
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,14 +1,14 @@
 // Package placement says which instance of a group owns what: a function of what is agreed on, and of
 // nothing else. Every instance that has applied the same log computes the same.
 //
-// A View is the set of instances that may own anything, under a number that grows with every change of the
-// set. Keys fall into a fixed number of shards, and shards to instances by rendezvous hashing with bounded
-// loads: nothing is stored for a key, a change of the set moves few shards, and none has more than
-// its part and a little.
+// A View is the set of instances that may own anything, under a number that grows with every change of
+// the set. Keys fall into a fixed number of shards, and shards to instances by rendezvous hashing with
+// bounded loads: nothing is stored for a key, a change of the set moves few shards, and none has more
+// than its part and a little.
 //
-// Hazard: two instances may have different views for a while, and so two may take themselves for the owner
-// of a shard. Placement says who is to act, and never that nobody else does: who acts looks at its lease
-// (see Right), and whoever begins waits for as long as an earlier owner may still act.
+// Hazard: two instances may have different views for a while, and so two may take themselves for the
+// owner of a shard. Placement says who is to act, and never that nobody else does: who acts looks at its
+// lease (see Right), and whoever begins waits for as long as an earlier owner may still act.
 package placement
 
 import (
@@ -96,8 +96,8 @@
 	return 1
 }
 
-// score is the member's bid for a shard: weighted rendezvous hashing. It goes by the member and not by its
-// session: an instance that starts anew owns what it did.
+// score is the member's bid for a shard: weighted rendezvous hashing. It goes by the member and not by
+// its session: an instance that starts anew owns what it did.
 func (m *Member) score(shard uint64) float64 {
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:8], m.Member)
@@ -121,9 +121,9 @@
 // Right is until when an instance may act on what it owns in its view.
 //
 // Hazard: a lease counts only at an instance whose state is as new as the leader's was when it granted
-// it. One that was cut off, whose shards have gone to another since, would otherwise act for as long as the
-// log lags behind the lease. So, once an entry is applied by the leader, nobody acts by a view from before
-// it for longer than a lease that was granted before it lasts.
+// it. One that was cut off, whose shards have gone to another since, would otherwise act for as long as
+// the log lags behind the lease. So, once an entry is applied by the leader, nobody acts by a view from
+// before it for longer than a lease that was granted before it lasts.
 type Right struct {
 	epoch     uint64
 	now, next lease
@@ -154,8 +154,8 @@
 	}
 }
 
-// Until is when the right of a session ends, under the lease that the configuration has now. Hazard: it may
-// have come to name a shorter one since the grant.
+// Until is when the right of a session ends, under the lease that the configuration has now. Hazard: it
+// may have come to name a shorter one since the grant.
 func (r *Right) Until(epoch uint64, most time.Duration) time.Duration {
 	if epoch == 0 || r.epoch != epoch || r.now.span == 0 {
 		return 0
--- a/internal/rig/clock.go
+++ b/internal/rig/clock.go
@@ -46,7 +46,7 @@
 }
 
 // taken notes that a worker has taken a job.
-func (f *Fleet) taken(key string) {
+func (f *Fleet) taken(_, key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.took[key]++
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -169,7 +169,7 @@
 	discovery := ""
 	if f.o.Rate > 0 {
 		if p.stage, err = stage.Start(stage.Options{Node: p.Front, Workers: 2, Zone: "z", Kind: "k",
-			Seed: f.o.Seed, Took: f.taken,
+			Seed: f.o.Seed, TookBy: f.taken,
 			Spec: emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
 				ColdShare: 1, Refresh: 200 * time.Millisecond}}); err != nil {
 			return err
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -31,8 +31,8 @@
 	Zone    string
 	Kind    string
 	Seed    uint64
-	// Took, where it is set, is told the key of each job that a worker takes. It must not wait.
-	Took func(key string)
+	// TookBy, where it is set, is told of each job that a worker takes: which, and its key. It must not wait.
+	TookBy func(worker, key string)
 }
 
 // Stage is workers and a list service that listen.
@@ -187,8 +187,8 @@
 func (w *worker) take(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	id := r.Header.Get("X-Request-ID")
-	if w.s.o.Took != nil {
-		w.s.o.Took(id)
+	if w.s.o.TookBy != nil {
+		w.s.o.TookBy(w.name, id)
 	}
 	if err != nil || id == "" {
 		rw.WriteHeader(http.StatusNotFound)
