--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -23,6 +23,7 @@
 	accounts          int
 	triggers          int
 	clock, oldRules   string
+	older             string
 	speed             float64
 	shrink, quiet     bool
 	trace, kills      bool
@@ -78,6 +79,8 @@
 	fl.StringVar(&f.clock, "clock", "", "what the instances' clocks show at the beginning, as in "+
 		"2026-10-25T00:30:00Z; empty: the machine's time")
 	fl.Float64Var(&f.speed, "speed", 1, "how fast the instances' clocks run, 1 to 600")
+	fl.StringVar(&f.older, "older", "", "the `program` of an earlier version, which all instances run "+
+		"before the story renews them")
 	fl.StringVar(&f.oldRules, "old-rules", "", "an `instance` that has other zone rules than the rest")
 	fl.BoolVar(&f.quiet, "quiet", false, "no faults")
 	fl.BoolVar(&f.shrink, "shrink", false,
@@ -197,7 +200,7 @@
 		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
 		Seed: f.seed, Drills: f.drills, Accounts: f.accounts, Triggers: f.triggers, Speed: f.speed,
-		OldRules: f.oldRules}}
+		OldRules: f.oldRules, Older: f.older}}
 	if f.clock != "" {
 		if o.Clock, err = time.Parse(time.RFC3339, f.clock); err != nil {
 			return nil, fmt.Errorf("--clock: %w", err)
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -105,6 +105,10 @@
 		p.Links.set(who[0], who[1], func(w *way) { w.delay = f.For })
 	case "slow":
 		p.Links.set(who[0], who[1], func(w *way) { w.bandwidth = f.Rate })
+	case "renew", "roll-back":
+		if err := p.Renew(p.Named(who[0]), f.Kind == "renew"); err != nil {
+			p.violate("%s can't be started: %v", who[0], err)
+		}
 	case "heal":
 		p.Links.Heal()
 	case "ahead", "behind", "true":
--- a/internal/schedule/explore_test.go
+++ b/internal/schedule/explore_test.go
@@ -14,10 +14,11 @@
 	"moorstack/internal/placement"
 )
 
-// The model: two instances, one trigger with two occurrences, and the log. At any time an instance may apply the
-// next entry, lose its lease, renew it (by a leader that has applied all, where it has, too), die, be opened a
-// session; may put into the log what its own state says, however old that is and whether or not it has a lease;
-// and begin what is its own by its state, with a lease only. What it says may be lost, come late, or twice.
+// The model: two instances, one trigger with two occurrences, and the log. At any time an instance may
+// apply the next entry, lose its lease, renew it (by a leader that has applied all, where it has, too),
+// die, be opened a session; may put into the log what its own state says, however old that is and whether
+// or not it has a lease; and begin what is its own by its state, with a lease only. What it says may be
+// lost, come late, or twice.
 
 type modelEntry struct {
 	c    Command
@@ -341,8 +342,8 @@
 
 var most = flag.Int64("states", 160_000, "how many states the explorer visits at the most")
 
-// In no order of events is an occurrence intended twice, begun twice where it may not be, or begun by one from
-// whom it was taken.
+// In no order of events is an occurrence intended twice, begun twice where it may not be, or begun by one
+// from whom it was taken.
 func TestNoOrderOfEventsFiresTwice(t *testing.T) {
 	for _, b := range []modelLimits{
 		{minutes: 1, crashes: 1, opens: 1, lapses: 1, words: 3, once: true},
