Believe of a worker what several instances have seen, and have one of them try it

Each instance finds out for itself that a worker fails, and pays for it with jobs. Ruled out: summed counts (one that lies outvotes all), a fixed time out (a worker that is well at once stays out).

Off by default (section workers).

--- a/cmd/moorstack/shares_test.go
+++ b/cmd/moorstack/shares_test.go
@@ -13,32 +13,43 @@
 	"moorstack/internal/stage"
 )
 
+// stages starts nine workers for each instance, by the same names: their call-backs go to one node. Then
+// it starts the instances.
+func (g *group) stages(names []string, of func(name string) stage.Options) {
+	g.fronts = map[string]string{}
+	for _, name := range names {
+		g.fronts[name] = freeAddress(g.t)
+		o := of(name)
+		o.Node, o.Workers, o.Zone, o.Kind, o.Seed = g.fronts[name], 9, "z", "k", 1
+		o.Spec = emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
+			ColdShare: 1, Refresh: 200 * time.Millisecond}
+		s, err := stage.Start(o)
+		check(g.t, err)
+		g.t.Cleanup(s.Close)
+		g.discovery = s.Discovery()
+		g.start(name)
+	}
+}
+
 // Each of three instances uses three of nine workers, and each worker is used by one; when an instance
 // dies the two that are left share them anew, and when it comes back it has its own again. Nonsense
 // changes nothing.
 func TestInstancesUsePartsOfTheWorkers(t *testing.T) {
 	t.Parallel()
 	g := newGroup(t)
-	g.fronts = map[string]string{}
 	names := []string{"n1", "n2", "n3"}
 	var mu sync.Mutex
 	used := map[string]map[string]bool{} // by instance: the workers that have taken its jobs
 	for _, name := range names {
-		g.fronts[name], used[name] = freeAddress(t), map[string]bool{}
-		// The same workers, as each instance reaches them: their call-backs go to one node.
-		s, err := stage.Start(stage.Options{Node: g.fronts[name], Workers: 9, Zone: "z", Kind: "k", Seed: 1,
-			Spec: emulate.WorkerSpec{Cores: 8, Slots: 64, Room: 256, Speed: 1, Cold: time.Millisecond,
-				ColdShare: 1, Refresh: 200 * time.Millisecond},
-			TookBy: func(worker, _ string) {
-				mu.Lock()
-				defer mu.Unlock()
-				used[name][worker] = true
-			}})
-		check(t, err)
-		t.Cleanup(s.Close)
-		g.discovery = s.Discovery()
-		g.start(name)
+		used[name] = map[string]bool{}
 	}
+	g.stages(names, func(name string) stage.Options {
+		return stage.Options{TookBy: func(worker, _ string) {
+			mu.Lock()
+			defer mu.Unlock()
+			used[name][worker] = true
+		}}
+	})
 	g.form(names...)
 	for want, bad := range map[string]string{"is not a number of workers": `subset = "1"`,
 		"is not group": `cold_parts = "mine"`, "is no key": `subsets = "3"`} {
@@ -93,3 +104,67 @@
 		t.Errorf("the same three instances use workers otherwise than before: %v, %v", before, after)
 	}
 }
+
+// A worker at which two of three instances' jobs fail is given nothing by all but the one whose turn it
+// is to try it; what one alone has seen, or says, changes nothing for others.
+func TestWhatSeveralHaveSeenIsBelieved(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	names := []string{"n1", "n2", "n3"}
+	const sick = "w00004"
+	var mu sync.Mutex
+	fails := map[string]bool{"n3": true}
+	g.stages(names, func(name string) stage.Options {
+		return stage.Options{Fails: func(worker string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return fails[name] && worker == sick
+		}}
+	})
+	g.form(names...)
+	if out, code := g.propose("n1", "[section.workers]\nwitnesses = \"on\"\n"); code != 0 {
+		t.Fatal(out)
+	}
+	jobs := func() {
+		var wg sync.WaitGroup
+		for _, name := range names {
+			for range 4 {
+				wg.Go(func() {
+					for range 20 {
+						g.job(name)
+					}
+				})
+			}
+		}
+		wg.Wait()
+	}
+	shunning := func() (n int) {
+		for _, name := range names {
+			if strings.Contains(g.must("cluster", "status", "--config", name+".toml", "--output", "json"),
+				`"workers_shunned": 1`) {
+				n++
+			}
+		}
+		return n
+	}
+	for range 5 {
+		jobs()
+		if n := shunning(); n > 0 {
+			t.Fatalf("%d shun a worker by one's word", n)
+		}
+	}
+	mu.Lock()
+	fails["n1"], fails["n2"], fails["n3"] = true, true, false
+	mu.Unlock()
+	eventually(t, "what two have seen is believed", func() bool {
+		jobs()
+		return shunning() > 0
+	})
+	mu.Lock()
+	clear(fails)
+	mu.Unlock()
+	eventually(t, "a worker that is well is used again", func() bool {
+		jobs()
+		return shunning() == 0
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,9 +170,11 @@
 	ids      map[string]brain.WorkerID
 	bans     bans
 	uses     map[string]bool // who is given work; nil: all
+	shuns    map[string]bool // who is given nothing for now, by others' word
 	onList   func()          // after each change of the route set; may be nil
-	gate     Gate            // nil: all are let in
-	waiting  int             // transactions without their final answer
+	onEnd    func(name string, res brain.Result)
+	gate     Gate // nil: all are let in
+	waiting  int  // transactions without their final answer
 	queue    []func()
 	busy     bool
 }
@@ -327,6 +329,9 @@
 	c.branches.Remove(b.id)
 	t.out--
 	b.hop.out--
+	if c.onEnd != nil {
+		c.onEnd(b.hop.name, res)
+	}
 	c.drop(b.hop)
 	if res == brain.OK {
 		c.answer(t, Answer{Kind: Served, Result: result})
--- a/internal/core/subset.go
+++ b/internal/core/subset.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// OnEnd has f be called with the end of each branch. It must not call back.
+func (c *Core) OnEnd(f func(name string, res brain.Result)) { c.onEnd = f }
+
+// Shun has the core give nothing to the named next hops until it is called again.
+func (c *Core) Shun(names map[string]bool) {
+	was := c.shuns
+	c.shuns = names
+	for name := range c.ids {
+		if was[name] != names[name] {
+			c.again(name, false)
+		}
+	}
+}
+
 // Used is how many next hops the core may give work to, of those that are listed and take work.
 func (c *Core) Used() int {
 	n := 0
@@ -49,7 +63,7 @@
 // over gives a line of the route set as the module is to see it.
 func (c *Core) over(name string, w brain.Worker) brain.Worker {
 	w = c.bans.over(name, w)
-	if c.uses != nil && !c.uses[name] && w.State == brain.Ready {
+	if (c.uses != nil && !c.uses[name] || c.shuns[name]) && w.State == brain.Ready {
 		w.State = brain.Draining
 	}
 	return w
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -52,6 +52,7 @@
 	rates   *rates
 	plans   *triggers
 	shares  *shares
+	words   *witnesses
 	zones   *calendar.Zones
 
 	mu      sync.Mutex
@@ -93,7 +94,7 @@
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
 	i.keeper, i.rates, i.plans = newKeeper(i), newRates(i), newTriggers(i)
-	i.shares = newShares(i)
+	i.shares, i.words = newShares(i), newWitnesses(i)
 	i.gate.rates, i.gate.shares = i.rates, i.shares
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
@@ -156,6 +157,7 @@
 			i.node.loop.Post(func() {
 				i.plans.stands(s)
 				i.shares.stands(s)
+				i.words.stands(s)
 			})
 		}, Fire: i.plans.fire, Events: i.plans.audited, Labels: cfg.labels()})
 	if err != nil {
@@ -189,6 +191,7 @@
 	i.lists = newHub(i)
 	i.network.TellLists(i.lists.tell)
 	i.network.TakeRates(i.rates.heard)
+	i.network.TakeWords(i.words.heard)
 	i.node.Ending = func() { go i.keeper.leave() }
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
@@ -346,6 +349,7 @@
 			i.rates.configure(limits)
 			i.plans.configure(&planned, r.Document)
 			i.shares.configure(shared, settings)
+			i.words.configure(shared)
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
@@ -583,5 +587,6 @@
 	c["jobs_refused_by_sessions"] = i.gate.refused.Load()
 	c["jobs_refused_by_rates"] = i.rates.refused.Load()
 	c["occurrences_begun"] = i.plans.begun.Load()
+	c["workers_shunned"] = uint64(i.words.count.Load())
 	return c
 }
--- /dev/null
+++ b/internal/node/witnesses.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"moorstack/brain"
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/net"
+	"moorstack/internal/placement"
+	"moorstack/internal/schema"
+)
+
+// tellEvery is how often instances tell each other what they have seen of workers, where there is
+// anything.
+const tellEvery = 250 * time.Millisecond
+
+// witnesses are an instance's part in what the group has seen of workers. All but the counter belongs to
+// the node's loop. A front's workers are its own, and so is what was seen of them; only the platform's
+// are told.
+type witnesses struct {
+	i       *Instance
+	log     logrus.FieldLogger
+	on      bool
+	said    bool // the last message had words in it
+	own     placement.Seat
+	view    placement.View
+	witness *placement.Witness
+	shunned map[string]bool
+	count   atomic.Int64
+	timer   *net.Timer
+}
+
+func newWitnesses(i *Instance) *witnesses {
+	return &witnesses{i: i, log: i.log.WithField("part", "witnesses"), witness: placement.NewWitness()}
+}
+
+// configure takes over what the configuration in force says, in the turn in which the fronts run it.
+func (w *witnesses) configure(p placement.Policy) {
+	if p.Words == w.on {
+		return
+	}
+	w.on = p.Words
+	w.timer.Stop()
+	c := &w.i.node.cores[0]
+	if !w.on {
+		c.OnEnd(nil)
+		w.shun(nil)
+		return
+	}
+	c.OnEnd(w.end)
+	w.log.Info("what several have seen of a worker is believed")
+	w.tick()
+}
+
+// stands takes the agreement's word on who is there. It is called on the loop.
+func (w *witnesses) stands(s consensus.Standing) {
+	w.own = s.Own
+	for _, v := range s.Views {
+		w.view = v
+	}
+	w.witness.View(placement.Of(w.view), w.own)
+}
+
+func (w *witnesses) end(name string, res brain.Result) {
+	switch res {
+	case brain.OK, brain.Error, brain.TimedOut, brain.ConnectFailed, brain.Reset:
+		w.witness.End(consensus.Boottime(), name, res != brain.OK)
+	}
+}
+
+// tick tells the others, and acts on what they have told.
+func (w *witnesses) tick() {
+	w.timer = w.i.node.loop.After(tellEvery, w.tick)
+	now := consensus.Boottime()
+	if words := w.witness.Says(now); len(words) > 0 || w.said {
+		w.said = len(words) > 0
+		m := &schema.WitnessMessage{FromEpoch: w.own.Epoch}
+		for _, x := range words {
+			m.Words = append(m.Words, &schema.WitnessWord{Worker: x.Worker, Bad: uint32(x.Bad),
+				All: uint32(x.All)})
+		}
+		for _, x := range w.i.runner.Status().Members {
+			if x.ID != w.own.Member {
+				to := agreement.Member{ID: x.ID, Name: x.Name, Address: x.Address}
+				w.i.network.SendSession(to, &schema.SessionMessage{Witness: m})
+			}
+		}
+	}
+	var listed []string
+	for _, l := range w.i.node.cores[0].Listings() {
+		listed = append(listed, l.Name)
+	}
+	w.shun(w.witness.Shunned(now, listed))
+}
+
+func (w *witnesses) shun(names map[string]bool) {
+	if maps.Equal(names, w.shunned) {
+		return
+	}
+	w.shunned = names
+	w.count.Store(int64(len(names)))
+	w.i.node.cores[0].Shun(names)
+	w.i.gate.note("shuns %d", len(names))
+	w.log.WithField("workers", slices.Sorted(maps.Keys(names))).
+		Warn("workers at which several instances' jobs fail are given nothing")
+}
+
+// heard takes another instance's words. It is called on a goroutine of the peers' network.
+func (w *witnesses) heard(from uint64, m *schema.WitnessMessage) {
+	words := make([]placement.Word, 0, len(m.Words))
+	for _, x := range m.Words {
+		words = append(words, placement.Word{Worker: x.Worker, Bad: int(x.Bad), All: int(x.All)})
+	}
+	w.i.node.loop.Post(func() {
+		// Hazard: words of a session that is no more, which came late.
+		for _, x := range w.view.Members {
+			if w.on && x.Member == from && x.Epoch == m.FromEpoch {
+				w.witness.Hear(consensus.Boottime(), from, words)
+			}
+		}
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,6 +49,7 @@
 	runner *consensus.Runner
 	// rates takes another instance's word on slices; nil: nobody does.
 	rates func(from uint64, m *schema.RateMessage)
+	words func(from uint64, m *schema.WitnessMessage)
 	// lists tells discovery's list to a caller; nil: this instance keeps none.
 	lists func(context.Context, func(*schema.ListNews) error) error
 
@@ -127,6 +128,9 @@
 	l.put(outgoing{session: m, to: to.ID})
 }
 
+// TakeWords has this function take others' words on workers. It must be called before Serve.
+func (n *Network) TakeWords(take func(from uint64, m *schema.WitnessMessage)) { n.words = take }
+
 // TakeRates has this function take others' words on slices. It must be called before Serve.
 func (n *Network) TakeRates(take func(from uint64, m *schema.RateMessage)) { n.rates = take }
 
@@ -392,6 +396,12 @@
 		}
 		return nil
 	}
+	if e.Session != nil && e.Session.Witness != nil {
+		if n.words != nil {
+			n.words(e.From, e.Session.Witness)
+		}
+		return nil
+	}
 	if e.Session != nil || st.Rollout.Format < agreement.Format {
 		n.runner.DeliverSession(from, e.Session, e.Format)
 	}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -13,6 +13,7 @@
 // Policy is what the section says.
 type Policy struct {
 	Subset int  // how many workers each instance uses; 0: all
+	Words  bool // what several have seen of a worker keeps all but one away from it
 	Parts  bool // what nodes share of a cold worker is in as many parts as there are instances
 }
 
@@ -27,13 +28,18 @@
 				wrong = append(wrong,
 					fmt.Sprintf("subset: %q is not a number of workers from 2 to 100000", text))
 			}
+		case "witnesses":
+			if p.Words = text == "on"; !p.Words && text != "off" {
+				wrong = append(wrong, fmt.Sprintf("witnesses: %q is not on or off", text))
+			}
 		case "cold_parts":
 			if p.Parts = text == "group"; !p.Parts && text != "file" {
 				wrong = append(wrong, fmt.Sprintf("cold_parts: %q is not group (as many as there are "+
 					"instances) or file (as the platform file's fleet_size says)", text))
 			}
 		default:
-			wrong = append(wrong, fmt.Sprintf("%q is no key of this section; subset and cold_parts are", key))
+			wrong = append(wrong, fmt.Sprintf("%q is no key of this section; subset, cold_parts and witnesses "+
+				"are", key))
 		}
 	}
 	return p, wrong
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -33,6 +33,8 @@
 	Seed    uint64
 	// TookBy, where it is set, is told of each job that a worker takes: which, and its key. It must not wait.
 	TookBy func(worker, key string)
+	// Fails, where it is set, says whether a worker answers a job with an error. Likewise.
+	Fails func(worker string) bool
 }
 
 // Stage is workers and a list service that listen.
@@ -187,6 +189,10 @@
 func (w *worker) take(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	id := r.Header.Get("X-Request-ID")
+	if w.s.o.Fails != nil && w.s.o.Fails(w.name) {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if w.s.o.TookBy != nil {
 		w.s.o.TookBy(w.name, id)
 	}
