--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -49,8 +49,8 @@
 	// Standing is told, on the same goroutine, how this instance stands where something is owned by
 	// placement, whenever that changes. It must not wait.
 	Standing func(Standing)
-	// Fire is told, on the same goroutine, of occurrences that this instance is to fire, and Events of what was
-	// agreed on of triggers. They must not wait.
+	// Fire is told, on the same goroutine, of occurrences that this instance is to fire, and Events of
+	// what was agreed on of triggers. They must not wait.
 	Fire   func([]schedule.Item)
 	Events func([]schedule.Event)
 	Labels []string // what this instance has that duties ask for
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -53,8 +53,8 @@
 	})
 }
 
-// crowd has owners go through two minutes of triggers that come each minute, and gives the bytes in the log for
-// each firing, and how long the deciding and applying at one of them took in the second one.
+// crowd has owners go through two minutes of triggers that come each minute, and gives the bytes in the
+// log for each firing, and how long the deciding and applying at one of them took in the second one.
 func crowd(t testing.TB, triggers, instances int) (bytes float64, took time.Duration) {
 	words := map[string]string{"zone": "Asia/Muscat"}
 	for n := range triggers {
@@ -126,7 +126,7 @@
 		triggers = 100_000
 	}
 	bytes, took := crowd(t, triggers, 5)
-	t.Logf("%d triggers of a minute at 5 instances: %.1f bytes of the log a firing, %v of one processor at each",
+	t.Logf("%d triggers of a minute at 5 instances: %.1f bytes of the log a firing, %v of a processor each",
 		triggers, bytes, took)
 	if bytes > 64 {
 		t.Errorf("%.1f bytes of the log a firing", bytes)
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -15,7 +15,8 @@
 		return
 	}
 	s := &schema.ScheduleStatus{Triggers: uint32(x.Triggers), Owned: uint32(x.Owned), Open: uint32(x.Open),
-		Zones: x.Zones, FleetMs: x.Fleet / int64(time.Millisecond), Counts: x.Counts, Off: map[string]string{}}
+		Zones: x.Zones, FleetMs: x.Fleet / int64(time.Millisecond), Counts: x.Counts,
+		Off: map[string]string{}}
 	for _, m := range out.Members {
 		if why := x.Off[m.Id]; why != "" {
 			s.Off[m.Name] = why
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -38,8 +38,9 @@
 					"instances) or file (as the platform file's fleet_size says)", text))
 			}
 		default:
-			wrong = append(wrong, fmt.Sprintf("%q is no key of this section; subset, cold_parts and witnesses "+
-				"are", key))
+			wrong = append(wrong,
+				fmt.Sprintf("%q is no key of this section; subset, cold_parts and "+
+					"witnesses are", key))
 		}
 	}
 	return p, wrong
--- a/internal/platform/planned.go
+++ b/internal/platform/planned.go
@@ -21,8 +21,9 @@
 	Repeat  bool
 }
 
-// Begin hands a planned job to the core, as if a client had sent it: rules of routing, limits and gates hold for
-// it as for any other. Unless it returns an error, the client is answered once. It is called on the loop.
+// Begin hands a planned job to the core, as if a client had sent it: rules of routing, limits and gates
+// hold for it as for any other. Unless it returns an error, the client is answered once. It is called on
+// the loop.
 func (f *Front) Begin(p Planned, client core.Client) error {
 	j := &job{target: p.Target, key: p.ID, body: []byte(p.Body)}
 	t := core.Transaction{ID: p.ID, Class: p.Class, Tenant: p.Tenant, Account: p.Account, Work: p.Work,
--- a/internal/versus/calendar_test.go
+++ b/internal/versus/calendar_test.go
@@ -104,7 +104,8 @@
 	busy := make(chan struct{}, runtime.NumCPU())
 	for n, loc := range all {
 		named := slices.Contains([]string{"Africa/Cairo", "Africa/Casablanca", "Africa/Monrovia",
-			"Asia/Beirut", "Australia/Lord_Howe", "Europe/Dublin", "Pacific/Apia", "Europe/Berlin"}, loc.String())
+			"Asia/Beirut", "Australia/Lord_Howe", "Europe/Dublin", "Pacific/Apia",
+			"Europe/Berlin"}, loc.String())
 		if mode == "" && n%24 != 0 && !named {
 			continue
 		}
