Have an instance that ends, or lost its session, give back what it has not begun

An occurrence whose session ended was written down as may have run also where its job had never been handed in, and an instance that was asked to end went on owning its triggers. Now it owns nothing from then on, gives back what waits, and ends only when the jobs of its triggers have; what is given back surely never ran, and whoever owns the shard fires it, whatever its class. An orphan that may not be repeated is given up after ten leases only: who had it may live, and say what became of it.

The rig asks instances to end (leave); four that leave one after another: nothing may have run.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -61,6 +61,12 @@
 const limit = 10 * time.Second
 
 func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	within(t, limit, what, ok)
+}
+
+// within is eventually for what takes many jobs, on a machine that is busy.
+func within(t *testing.T, limit time.Duration, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/cmd/moorstack/triggers_test.go
+++ b/cmd/moorstack/triggers_test.go
@@ -74,6 +74,18 @@
 	return v
 }
 
+// Instances that are asked to end, one after another, give back what they have not begun, and see to its end
+// what they have: nothing may have run.
+func TestTriggersWhileInstancesLeave(t *testing.T) {
+	t.Parallel()
+	g := &group{t: t, dir: t.TempDir()}
+	check(t, os.WriteFile(filepath.Join(g.dir, "story.txt"), []byte("1s leave n1 300ms\n3s leave n2 300ms\n"+
+		"5s leave n3 300ms\n7s leave leader 300ms\n"), 0o600))
+	g.expect(0, " 0 may have run, 0 refused, 0 failed", "prove", "cluster", "--story", "story.txt",
+		"--for", "12s",
+		"--duties", "0", "--accounts", "0", "--triggers", "9", "--rate", "5")
+}
+
 // The night of a clock change, the 29th of February and the day that a place left out, in fast time, with
 // kills in the very hour; one clock that is off, by minutes and by an hour; one instance with older zone
 // rules. No occurrence comes twice, is left out, or is repeated where it may not be.
--- a/internal/consensus/schedule.go
+++ b/internal/consensus/schedule.go
@@ -52,7 +52,8 @@
 
 // group is whom the leader's side judges.
 func (i *Instance) group() schedule.Group {
-	g := schedule.Group{Members: i.state.Seated(), Size: len(i.state.Members()), Lease: i.policy().Lease}
+	g := schedule.Group{Members: i.state.Seated(), Size: len(i.state.Members()), Lease: i.policy().Lease,
+		Away: func(m uint64) bool { return i.ses.duties.words[m].away }}
 	p := i.policy()
 	for _, x := range i.state.Rollout().List() {
 		if !x.Open && i.ses.leader.Out(i.ses.now, x.Member, p) {
@@ -110,7 +111,8 @@
 	p := i.policy()
 	v := schedule.View{Mono: i.ses.now, Lease: p.Lease, Repeatable: i.repeatable}
 	// Hazard: one that was cut off has the log of some time ago, and owns by it what is another's.
-	if own.Epoch != 0 && i.ses.now < i.ses.seats.right.Until(own.Epoch, p.Lease) && x.fleet != 0 {
+	right := i.ses.now < i.ses.seats.right.Until(own.Epoch, p.Lease)
+	if own.Epoch != 0 && !i.ses.duties.away && right && x.fleet != 0 {
 		v.Seat, v.Fleet = own, (x.fleet+int64(i.ses.now-x.fleetAt))/int64(time.Second)
 	}
 	for _, c := range x.owner.Look(s, v) {
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -192,7 +192,12 @@
 	i.network.TellLists(i.lists.tell)
 	i.network.TakeRates(i.rates.heard)
 	i.network.TakeWords(i.words.heard)
-	i.node.Ending = func() { go i.keeper.leave() }
+	i.node.Ending = func() {
+		i.plans.leave()
+		go i.keeper.leave()
+	}
+	drain := i.node.drain
+	i.node.drain = func(done func()) { drain(func() { i.plans.drained(done) }) }
 	i.node.Reloaded = func() {
 		if err := i.reroute(); err != nil {
 			log.WithError(err).Error("the rules stay as they were")
--- a/internal/node/triggers.go
+++ b/internal/node/triggers.go
@@ -33,6 +33,8 @@
 	timer    *net.Timer
 	begun    atomic.Uint64
 	early    bool // a turn is asked for
+	leaving  bool // the node is about to end: what has not been handed in is given back
+	ended    func()
 }
 
 // firing is an occurrence that this instance is to fire, until it knows what became of it.
@@ -49,6 +51,7 @@
 	firingsATurn = 200
 	firingAgain  = 200 * time.Millisecond
 	firingTurn   = 5 * time.Millisecond
+	drainMost    = 20 * time.Second
 )
 
 func newTriggers(i *Instance) *triggers {
@@ -138,8 +141,9 @@
 	t.waiting = nil
 	for _, f := range waiting {
 		switch {
-		case f.Seat != t.standing.Own:
-			delete(t.known, f.Number) // it is another's, or nobody's, by now
+		case f.Seat != t.standing.Own || t.leaving:
+			// It surely never ran, and whoever has it next should know.
+			t.end(f, schedule.Unrun)
 		case begun >= firingsATurn || now < f.again || now >= t.standing.Until:
 			// Hazard: the process may have stood still, and the next owner have it already.
 			t.waiting = append(t.waiting, f)
@@ -148,9 +152,32 @@
 			t.begin(f, now)
 		}
 	}
+	if t.ended != nil && len(t.known) == 0 && len(t.results) == 0 {
+		t.ended()
+		t.ended = nil
+	}
 	t.soon(firingTurn)
 }
 
+// leave has nothing more be begun, and what is waiting be given back.
+func (t *triggers) leave() {
+	t.leaving = true
+	t.run()
+}
+
+// drained calls done once no job of a trigger is open here, and what became of them is told; or after a time.
+func (t *triggers) drained(done func()) {
+	over := false
+	t.ended = func() {
+		if !over {
+			over = true
+			done()
+		}
+	}
+	t.i.node.loop.After(drainMost, t.ended)
+	t.run()
+}
+
 // fleet is the fleet's time, Unix seconds; 0: it is not known.
 func (t *triggers) fleet(now time.Duration) int64 {
 	if t.standing.Fleet == 0 {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -267,6 +267,24 @@
 	}
 }
 
+// Leave asks an instance's process to end, and waits for that; one that takes too long is killed.
+func (f *Fleet) Leave(p *Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	cmd := p.cmd
+	if p.stalled {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+	}
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	slow := time.AfterFunc(30*time.Second, func() { _ = cmd.Process.Kill() })
+	_ = cmd.Wait()
+	slow.Stop()
+	p.cmd = nil
+}
+
 // Stall has a process stand still, or go on.
 func (f *Fleet) Stall(p *Process, on bool) {
 	p.mu.Lock()
--- a/internal/rig/story.go
+++ b/internal/rig/story.go
@@ -51,10 +51,12 @@
 		says: "its disk is full for so long; then there is room, and it is started again"},
 	"renew":     {who: 1, says: "it dies and is started as the program is now (see --older)"},
 	"roll-back": {who: 1, says: "it dies and is started as the program was earlier (see --older)"},
-	"ahead":     {who: 1, span: true, says: "its wall clock is set so far ahead of the true one"},
-	"behind":    {who: 1, span: true, says: "its wall clock is set so far behind the true one"},
-	"true":      {who: 1, says: "its wall clock is set right"},
-	"hand-on":   {who: 1, says: "an operator, who asks it, has the first duty go to it"},
+	"leave": {who: 1, span: true,
+		says: "it is asked to end (SIGTERM), and started again so long after it has"},
+	"ahead":   {who: 1, span: true, says: "its wall clock is set so far ahead of the true one"},
+	"behind":  {who: 1, span: true, says: "its wall clock is set so far behind the true one"},
+	"true":    {who: 1, says: "its wall clock is set right"},
+	"hand-on": {who: 1, says: "an operator, who asks it, has the first duty go to it"},
 	"torn": {who: 1, span: true,
 		says: "it dies in the midst of a write, of which a part is on its disk; started after so long"},
 }
@@ -279,6 +281,10 @@
 			add(at+time.Duration(500+rng.IntN(4000))*time.Millisecond, "true", 0, names[0])
 			continue
 		}
+		if rng.IntN(12) == 0 {
+			add(at, "leave", time.Duration(50+rng.IntN(2000))*time.Millisecond, one())
+			continue
+		}
 		switch k := rng.IntN(16); k {
 		case 0, 1, 2, 3:
 			// From 5 ms to some leases.
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -150,6 +150,10 @@
 			p.violate("%s: its log can't be torn: %v", x.Name, err)
 		}
 		time.AfterFunc(f.For, func() { _ = p.Start(x) })
+	case "leave":
+		x := p.Named(who[0])
+		p.Leave(x)
+		time.AfterFunc(f.For, func() { _ = p.Start(x) })
 	case "kill":
 		p.Kill(p.Named(who[0]))
 	case "start":
--- a/internal/schedule/leader.go
+++ b/internal/schedule/leader.go
@@ -71,6 +71,8 @@
 	Size    int                // all of the group
 	Lease   time.Duration
 	Over    []Seat // were set aside, and their leases have surely run out
+	// Away says of a member that it is about to end, and so owns nothing.
+	Away func(member uint64) bool
 }
 
 // Fleet is the fleet's time, in Unix nanoseconds: the median of the clocks, and of two in the middle the
@@ -108,7 +110,9 @@
 	all := l.clocks(now, g.Members, g.Lease, func(uint64) bool { return true })
 	for _, m := range g.Members {
 		r, heard := l.heard[m.Member]
-		if why := l.apart(now, s, m.Member, all, p.Bound, g.Lease); why != "" {
+		if g.Away != nil && g.Away(m.Member) {
+			c.Off[m.Member] = "it is about to end"
+		} else if why := l.apart(now, s, m.Member, all, p.Bound, g.Lease); why != "" {
 			c.Off[m.Member] = why
 		} else if heard && r.Version == p.Version && r.Zones != zones {
 			c.Off[m.Member] = fmt.Sprintf("its zone rules are %016x, the group's %016x", r.Zones, zones)
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"time"
 
 	"moorstack/internal/calendar"
@@ -14,6 +15,8 @@
 	mostTurns = 20_000
 	// mostSpan bounds what one turn makes up for, in seconds.
 	mostSpan = 6 * 3600
+	// patience is how many leases pass before an orphan that may not be repeated is given up.
+	patience = 10
 	// mostPassed is how many occurrences that are too late are counted; of more, so many are said.
 	mostPassed = 10_000
 )
@@ -35,6 +38,7 @@
 	looked  time.Duration
 	settled map[uint64]settling
 	asked   map[uint64]time.Duration // orphans whose Resolve is on its way
+	orphans map[uint64]time.Duration // since when this instance knows of them
 }
 
 type flight struct {
@@ -73,7 +77,8 @@
 // NewOwner goes by the zone rules that are here.
 func NewOwner(zones *calendar.Zones) *Owner {
 	return &Owner{zones: zones, policy: &Policy{}, flying: map[int]flight{},
-		settled: map[uint64]settling{}, asked: map[uint64]time.Duration{}}
+		settled: map[uint64]settling{}, asked: map[uint64]time.Duration{},
+		orphans: map[uint64]time.Duration{}}
 }
 
 // View is what an owner goes by.
@@ -307,15 +312,21 @@
 		result := MayHave
 		k := o.policy.place(i.Trigger)
 		ago := time.Duration(v.Fleet-i.Since+1) * time.Second
-		if k >= 0 && v.Repeatable(&o.policy.Triggers[k], ago) {
+		if i.Unrun || k >= 0 && v.Repeatable(&o.policy.Triggers[k], ago) {
 			result = Done
 		}
+		// Who had it may live, and say what became of it, or that it never ran.
+		if _, known := o.orphans[n]; !known {
+			o.orphans[n] = v.Mono
+		}
+		if result == MayHave && v.Mono-o.orphans[n] < patience*v.Lease {
+			continue
+		}
 		o.asked[n] = v.Mono
 		c.Numbers, c.Results = append(c.Numbers, n), append(c.Results, result)
 	}
-	if len(o.asked) > 1<<16 {
-		clear(o.asked)
-	}
+	maps.DeleteFunc(o.orphans, func(n uint64, _ time.Duration) bool { return s.open[n] == nil })
+	maps.DeleteFunc(o.asked, func(n uint64, _ time.Duration) bool { return s.open[n] == nil })
 	if len(c.Numbers) > 0 {
 		out = append(out, c)
 	}
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -40,7 +40,8 @@
 	At      int64         `json:"at"`    // Unix seconds
 	Since   int64         `json:"since"` // the fleet's time when it was intended first
 	Seat    Seat          `json:"seat"`
-	Orphan  bool          `json:"o,omitempty"` // whose session has surely ended
+	Orphan  bool          `json:"o,omitempty"` // whose session has surely ended, or has given it back
+	Unrun   bool          `json:"u,omitempty"` // of an orphan: its holder has said that it surely never ran
 	Repeat  bool          `json:"r,omitempty"` // another may have begun it
 }
 
@@ -57,10 +58,13 @@
 	Refused               // it was turned away until it was too late
 	MayHave               // whoever had it ended, and it may not be repeated: it may have run
 	Passed                // it was too late when somebody could fire it
+	// Unrun is no end: who has it gives it back, and it surely never ran.
+	Unrun
 )
 
 func (r Result) String() string {
-	return [...]string{"done", "failed", "refused", "may have run", "passed over"}[min(int(r), 4)]
+	return [...]string{"done", "failed", "refused", "may have run", "passed over",
+		"given back"}[min(int(r), 5)]
 }
 
 // results is how many there are.
@@ -305,7 +309,12 @@
 	case Settle:
 		for k, n := range c.Numbers {
 			// Hazard: a session that has ended says what became of what has been taken over since.
-			if i := s.open[n]; i != nil && i.Seat == c.Seat {
+			i := s.open[n]
+			switch {
+			case i == nil || i.Seat != c.Seat:
+			case c.Results[k] == Unrun:
+				i.Orphan, i.Unrun = true, true
+			default:
 				s.settle(i, c.Results[k])
 			}
 		}
@@ -410,7 +419,7 @@
 			s.settle(i, c.Results[k])
 			continue
 		}
-		i.Seat, i.Orphan, i.Repeat = c.Seat, false, true
+		i.Seat, i.Orphan, i.Repeat, i.Unrun = c.Seat, false, i.Repeat || !i.Unrun, false
 		s.fresh = append(s.fresh, n)
 		s.tell(Event{What: "adopt", Number: n, Key: i.Key(), At: i.At, Seat: c.Seat})
 	}
