--- a/internal/consensus/schedule.go
+++ b/internal/consensus/schedule.go
@@ -83,7 +83,7 @@
 
 // judgeSchedule has the leader's side decide who may own shards.
 func (i *Instance) judgeSchedule() {
-	if i.state.Format() < 5 {
+	if s := i.state.Schedule(); i.state.Format() < 5 || s.Policy().Version == 0 && s.Version == 0 {
 		return
 	}
 	if c, ok := i.ses.plans.leader.Look(i.ses.now, i.state.Schedule(), i.group()); ok {
--- a/internal/schedule/owner.go
+++ b/internal/schedule/owner.go
@@ -126,7 +126,7 @@
 		o.stale, o.looked = true, 0
 		return out
 	}
-	if o.stale || o.table != s.table || o.seat != v.Seat {
+	if o.stale || o.table != s.owners() || o.seat != v.Seat {
 		o.rebuild(s, v.Seat)
 	}
 	out = o.resolve(s, v, out)
@@ -137,7 +137,7 @@
 
 // rebuild makes the queue anew, from the marks of the shards that are owned.
 func (o *Owner) rebuild(s *State, seat Seat) {
-	o.table, o.seat, o.stale = s.table, seat, false
+	o.table, o.seat, o.stale = s.owners(), seat, false
 	o.queue = o.queue[:0]
 	clear(o.flying)
 	for k := range o.policy.Triggers {
--- a/internal/schedule/state.go
+++ b/internal/schedule/state.go
@@ -108,9 +108,10 @@
 	Image
 	open   map[uint64]*Item
 	policy *Policy
-	table  *placement.Table
-	fresh  []uint64 // given to somebody since they were asked for last
-	told   []Event  // since they were asked for last
+	seated []placement.Member // who may own shards
+	table  *placement.Table   // nil: it is made when it is asked for; few groups have triggers
+	fresh  []uint64           // given to somebody since they were asked for last
+	told   []Event            // since they were asked for last
 }
 
 // Event is a line of what was agreed on, for audits.
@@ -171,14 +172,21 @@
 			list = append(list, m)
 		}
 	}
-	if s.table == nil || !slices.Equal(s.table.View.Members, list) {
-		s.table = placement.Of(placement.View{Members: list})
+	if !slices.Equal(s.seated, list) {
+		s.seated, s.table = list, nil
 	}
 }
 
+func (s *State) owners() *placement.Table {
+	if s.table == nil {
+		s.table = placement.Of(placement.View{Members: s.seated})
+	}
+	return s.table
+}
+
 // Owner is whose a shard is.
 func (s *State) Owner(shard int) (Seat, bool) {
-	m, ok := s.table.Owner(shard)
+	m, ok := s.owners().Owner(shard)
 	return m.Seat, ok
 }
 
