Work out whose turn a worker is only when the sessions change, not with every lease

Read once more: each grant of a lease, eight a second by default ticks, had the loop work out the owners of all 4,096 shards anew for the witnesses, also where they are off. Found by reading, not measured apart; the same work was 20,000 hashes at 5 instances. Now only where sessions have changed. The tests of shared workers and of witnesses at three processes pass.

--- a/internal/node/witnesses.go
+++ b/internal/node/witnesses.go
@@ -60,6 +60,11 @@
 
 // stands takes the agreement's word on who is there. It is called on the loop.
 func (w *witnesses) stands(s consensus.Standing) {
+	// Hazard: this comes with every lease, and who owns what takes thousands of hashes to work out, on
+	// the loop.
+	if len(s.Views) == 0 && s.Own == w.own {
+		return
+	}
 	w.own = s.Own
 	for _, v := range s.Views {
 		w.view = v
