Give what a group agrees on one shape: a subject is a package and a line in the list

Duties and triggers each had a file in the agreed state, in the consensus and in its runner, and every new subject would have had the same again. Now a subject has a State (its part of what is agreed), a Part (an instance's side, and the leader's) and a line in agreement's list; agreement and consensus name none, the node tells its parts who is there and which document is in force through one interface. The wire, the log and the images stay byte for byte what they were: fields of the schema and of the image are the subjects' own. Rollout stays the ground, since it gives the sessions that subjects hold by.

Ruled out: a generic envelope in the log, which older programs could not read, and a second log. On the way: what was wrong with rates was listed in an order of chance, and stands in the agreed state; it is sorted now.

Three process tests failed on a machine loaded threefold: two waited for the wrong thing and are mended.

--- a/cmd/moorstack/faktory_test.go
+++ b/cmd/moorstack/faktory_test.go
@@ -26,6 +26,7 @@
 	check(t, os.WriteFile(file, fmt.Appendf(nil, "listen = %q\npassword = %q\nreserve = %q\n"+
 		"reserve_least = \"100ms\"\n%s\n[classes]\nResize = \"quote\"\n", addr, secret, term, extra), 0o600))
 	w := newWorld(t, 0, done, "-faktory", file)
+	listens(t, addr) // it comes after the platform's address
 	return w, addr
 }
 
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -24,10 +24,6 @@
 // all fronts, and one of format 5 has triggers. A group goes to a newer one once all its instances can.
 const Format = 5
 
-// since is the format from which on a section counts. Hazard: an instance that knows nothing of one runs the
-// document all the same, and keeps to nothing that it says.
-var since = map[string]int{"ratelimit": 4, "schedule": 5, "workers": 5}
-
 // Bounds on a document. A change beyond them is refused before it is proposed.
 const (
 	MaxDocument = 256 << 10 // bytes, as JSON
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -6,10 +6,8 @@
 	"slices"
 	"time"
 
-	"moorstack/internal/duty"
 	"moorstack/internal/placement"
 	"moorstack/internal/rollout"
-	"moorstack/internal/schedule"
 )
 
 // What a State remembers at the most.
@@ -95,10 +93,7 @@
 	rollout *rollout.State
 	pending *Revision      // that takes hold, or is withdrawn
 	policy  rollout.Policy // of the newest revision
-	duties  *duty.State
-	specs   []duty.Spec // of the newest revision
-
-	schedule *schedule.State
+	parts   []statePart
 }
 
 // New makes the state of a new group. The first document has revision 1, or one more
@@ -113,8 +108,7 @@
 		rollout: rollout.NewState(),
 		// Hazard: a group made from a backup must not use the numbers of the one that it was made of,
 		// which may have used more since.
-		duties:   duty.NewState(after << 32),
-		schedule: schedule.NewState(),
+		parts: rules.parts(after << 32),
 	}
 	if !first.finite() {
 		return nil, fmt.Errorf("the first document has a number that is none")
@@ -137,18 +131,6 @@
 // Rollout is how changes take hold. It must not be changed.
 func (s *State) Rollout() *rollout.State { return s.rollout }
 
-// Duties is who holds what. It must not be changed.
-func (s *State) Duties() *duty.State { return s.duties }
-
-// Specs is which duties the configuration in force has.
-func (s *State) Specs() []duty.Spec { return s.specs }
-
-// Schedule is which triggers have come how far. It must not be changed.
-func (s *State) Schedule() *schedule.State { return s.schedule }
-
-// Scheduled applies a command of the triggers that is in the log.
-func (s *State) Scheduled(c schedule.Command) error { return s.schedule.Apply(c) }
-
 // Seated lists the members that may own something by placement: those with open sessions.
 func (s *State) Seated() []placement.Member {
 	var list []placement.Member
@@ -162,26 +144,11 @@
 }
 
 // Settled has what goes by sessions follow them. It is called after each entry of the log.
-func (s *State) Settled() { s.schedule.Seated(s.Seated()) }
-
-// Duty applies a command of the duties that is in the log.
-func (s *State) Duty(c duty.Command) Outcome {
-	o := Outcome{Code: Accepted, Revision: s.Newest().Revision}
-	if known, ok := s.ids[c.ID]; ok && c.ID != "" {
-		return known
-	}
-	err := s.duties.Apply(c, func(seat duty.Seat) bool {
-		x := s.rollout.Sessions[seat.Member]
-		return x.Open && x.Epoch == seat.Epoch
-	})
-	if err != nil {
-		o.Code, o.Problems = Invalid, []string{err.Error()}
+func (s *State) Settled() {
+	seated := s.Seated()
+	for _, p := range s.parts {
+		p.state.Seated(seated)
 	}
-	// A holder's words are many, and harmless when they come again: only operators' are remembered.
-	if c.ID != "" && len(c.ID) <= maxName && c.Kind >= duty.HandOn {
-		s.remember(c.ID, o)
-	}
-	return o
 }
 
 // Policy is how changes take hold now.
@@ -246,7 +213,7 @@
 		return refuse(Invalid, "the document has a number that is none")
 	}
 	for name := range c.Document.Sections {
-		if s.format < since[name] {
+		if s.format < s.rules.since(name) {
 			return refuse(Invalid, fmt.Sprintf("section %s: an instance runs a program that knows nothing "+
 				"of it; renew it first", name))
 		}
@@ -334,21 +301,21 @@
 // process that they were for is no more. Hazard: one that an operator has set aside may act until
 // its lease ends; its duties wait for that.
 func (s *State) vacate(c rollout.Command) {
+	over, why := (func(placement.Seat) bool)(nil), ""
 	switch c.Kind {
 	case rollout.Lapse:
-		s.schedule.Vacated(func(h schedule.Seat) bool {
-			return slices.Contains(c.Seats, rollout.Seat{Member: h.Member, Epoch: h.Epoch})
-		})
-		s.duties.Vacated(func(h duty.Seat) bool {
-			return slices.Contains(c.Seats, rollout.Seat{Member: h.Member, Epoch: h.Epoch})
-		}, "its session ended", c.AtMS)
+		why = "its session ended"
+		over = func(h placement.Seat) bool { return slices.Contains(c.Seats, rollout.Seat(h)) }
 	case rollout.Open:
-		s.schedule.Vacated(func(h schedule.Seat) bool {
-			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
-		})
-		s.duties.Vacated(func(h duty.Seat) bool {
+		why = "it was started anew"
+		over = func(h placement.Seat) bool {
 			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
-		}, "it was started anew", c.AtMS)
+		}
+	default:
+		return
+	}
+	for _, p := range s.parts {
+		p.state.Vacated(over, why, c.AtMS)
 	}
 }
 
@@ -378,21 +345,12 @@
 	s.order = append(s.order, id)
 }
 
-// plan takes over the triggers of the newest revision. It has been validated.
+// plan has the subjects go by the newest revision. It has been validated.
 func (s *State) plan() {
 	d := s.Newest().Document
-	p, _ := schedule.ReadPolicy(d.Sections[schedule.Section], namesOf(d))
-	s.schedule.Configure(&p)
-}
-
-func namesOf(d *Document) (n schedule.Names) {
-	for _, c := range d.Classes {
-		n.Classes = append(n.Classes, c.Name)
+	for _, p := range s.parts {
+		p.state.Configure(termsOf(d, p.Section()))
 	}
-	for _, t := range d.Tenants {
-		n.Tenants = append(n.Tenants, t.Name)
-	}
-	return n
 }
 
 func (s *State) push(r Revision) {
@@ -400,8 +358,6 @@
 	s.history = append(s.history, r)
 	s.bytes += r.size
 	s.policy, _ = rollout.ReadPolicy(r.Document.Sections[rollout.Section]) // it has been validated
-	duties, _ := duty.ReadPolicy(r.Document.Sections[duty.Section])
-	s.specs = duties.Specs()
 	for len(s.history) > 1 && (len(s.history) > MaxHistory || s.bytes > maxHistoryBytes) {
 		s.bytes -= s.history[0].size
 		s.history = append(s.history[:0], s.history[1:]...)
@@ -423,6 +379,9 @@
 	return list
 }
 
+// Size is how many instances there are.
+func (s *State) Size() int { return len(s.members) }
+
 // Member gives the instance of that number.
 func (s *State) Member(id uint64) (Member, bool) {
 	m, ok := s.members[id]
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -8,9 +8,7 @@
 	"strings"
 	"time"
 
-	"moorstack/internal/duty"
-	"moorstack/internal/rollout"
-	"moorstack/internal/schedule"
+	"moorstack/internal/subject"
 )
 
 // SectionRule checks a section that the program knows. It must be a pure function.
@@ -18,7 +16,9 @@
 
 // Rules are what documents are checked by. Every instance of a group must have the same.
 type Rules struct {
-	Sections map[string]SectionRule // a section that isn't named here may hold anything
+	// Sections are those with rules that no subject has. One that isn't named may hold anything.
+	Sections map[string]SectionRule
+	Subjects []subject.Subject // what is agreed on beside the document; nil: Subjects()
 }
 
 // longest is the longest time that a document may name.
@@ -181,21 +181,8 @@
 				p.add(at, "key %q: %s", key, why)
 			}
 		}
-		if name == rollout.Section {
-			_, wrong := rollout.ReadPolicy(values)
-			for _, why := range wrong {
-				p.add(at, "%s", why)
-			}
-		}
-		if name == duty.Section {
-			_, wrong := duty.ReadPolicy(values)
-			for _, why := range wrong {
-				p.add(at, "%s", why)
-			}
-		}
-		if name == schedule.Section {
-			_, wrong := schedule.ReadPolicy(values, namesOf(d))
-			for _, why := range wrong {
+		if x := r.subject(name); x != nil {
+			for _, why := range x.Check(termsOf(d, name)) {
 				p.add(at, "%s", why)
 			}
 		}
--- a/internal/consensus/instance.go
+++ b/internal/consensus/instance.go
@@ -39,9 +39,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/calendar"
-	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
-	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -59,6 +57,7 @@
 	TickLength     time.Duration    // 100 ms, if 0
 	Wall           func() time.Time // told to people, and the fleet's time is made of it; may be nil
 	Zones          *calendar.Zones  // the rules for triggers; nil: those that are here
+	Labels         []string         // what this instance has that duties ask for
 }
 
 func (c Config) filled() Config {
@@ -129,10 +128,10 @@
 	Sessions []SessionMessage    // to other instances
 	Permit   *rollout.Permit     // whether the fronts may admit jobs, where that has changed
 	Stage    *agreement.Revision // the fronts must be made ready for this change; see Staged
-	Duties   *[]duty.Held        // what this instance holds, where that has changed
 	Standing *Standing           // how it stands where something is owned by placement, likewise
-	Fire     []schedule.Item     // what this instance is to fire, under the session that they name
-	Events   []schedule.Event    // what was agreed on of triggers, for audits
+	// Told is what subjects have to say to the rest of the node, in order, after the standing. Whose a word
+	// is its type says.
+	Told []any
 }
 
 // SessionMessage is a word on sessions to another instance.
@@ -210,6 +209,7 @@
 	i.rng = rand.New(rand.NewPCG(cfg.Seed, i.identity.Id))
 	i.ses.holder = rollout.NewHolder(i.identity.Id, i.rng.Uint64()|1)
 	i.ses.waiting, i.ses.formats = map[uint64]rollout.Report{}, map[uint64]uint32{}
+	i.ses.parts, i.ses.aways = partsOf(cfg), map[uint64]bool{}
 	if i.identity.Cluster == "" {
 		return i, nil
 	}
@@ -442,7 +442,7 @@
 			if e.GetType() != pb.EntryNormal {
 				return errors.New("a proposal of another kind than a change")
 			}
-			if _, _, err := decodeChange(e.GetData()); err != nil {
+			if _, _, err := i.decode(e.GetData()); err != nil {
 				return err
 			}
 		}
--- a/internal/consensus/placement.go
+++ b/internal/consensus/placement.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"moorstack/internal/placement"
-	"moorstack/internal/rollout"
 )
 
 // Standing is how an instance stands where something is owned by placement.
@@ -17,9 +16,6 @@
 	Own     placement.Seat // the session that this instance has; the zero Seat: none
 	Until   time.Duration  // when its right to act on what it owns ends, on its clock
 	Lease   time.Duration  // how long any instance's lasts
-	// Fleet was the fleet's time at FleetAt on the instance's clock, Unix nanoseconds; 0: it is not known.
-	Fleet   int64
-	FleetAt time.Duration
 }
 
 // seats are an instance's part in what is owned by placement.
@@ -48,7 +44,9 @@
 func (i *Instance) reseat() {
 	p := &i.ses.seats
 	p.views, p.last, p.gap = nil, 0, true
-	i.ses.plans.all = true
+	for _, p := range i.ses.parts {
+		p.part.Skipped()
+	}
 	i.state.Settled()
 	i.seat()
 }
@@ -57,22 +55,15 @@
 func (i *Instance) tellStanding() {
 	p := &i.ses.seats
 	p.right.Applied(i.applied)
-	now := Standing{Views: p.views, Skipped: p.gap, Lease: i.policy().Lease, Fleet: i.ses.plans.fleet,
-		FleetAt: i.ses.plans.fleetAt}
+	now := Standing{Views: p.views, Skipped: p.gap, Lease: i.policy().Lease}
 	if epoch := i.ses.holder.Epoch(); epoch != 0 && !i.gone() {
 		now.Own = placement.Seat{Member: i.identity.Id, Epoch: epoch}
 		now.Until = p.right.Until(epoch, now.Lease)
 	}
-	same := now.Own == p.told.Own && now.Until == p.told.Until && now.Lease == p.told.Lease &&
-		now.Fleet == p.told.Fleet
+	same := now.Own == p.told.Own && now.Until == p.told.Until && now.Lease == p.told.Lease
 	if len(now.Views) == 0 && same {
 		return
 	}
 	p.views, p.gap, p.told = nil, false, now
 	i.out.Standing = &now
 }
-
-// seatGranted takes a lease from a leader that had applied the log so far.
-func (i *Instance) seatGranted(g rollout.Grant, applied uint64) {
-	i.ses.seats.right.Granted(g.Epoch, g.Asked, g.For, applied, i.applied)
-}
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -38,8 +38,7 @@
 
 func (e *Effects) empty() bool {
 	return len(e.Messages) == 0 && len(e.Answers) == 0 && len(e.Revisions) == 0 && e.Image == nil &&
-		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Duties == nil && e.Standing == nil &&
-		len(e.Fire) == 0 && len(e.Events) == 0
+		len(e.Sessions) == 0 && e.Permit == nil && e.Stage == nil && e.Standing == nil && len(e.Told) == 0
 }
 
 // save makes records of what must outlive the process. The order matters where the end of
@@ -155,7 +154,7 @@
 }
 
 func (i *Instance) applyChange(data []byte) {
-	m, c, err := decodeChange(data)
+	m, c, err := i.decode(data)
 	if err != nil {
 		// Hazard: to pass over what can't be read would be to agree on something else than
 		// the instances that can read it.
@@ -166,10 +165,8 @@
 		i.state.Enter()
 	case m.Command != nil:
 		i.applyCommand(m.Command)
-	case m.Duty != nil:
-		i.applyDuty(m.Duty)
-	case m.Schedule != nil:
-		i.applySchedule(m.Schedule)
+	case i.cfg.Rules.Spoken(m):
+		i.applyWord(m)
 	default:
 		if o, ok := i.state.Apply(c); ok {
 			i.outcome = append(i.outcome, outcome{c.ID, o})
@@ -241,8 +238,8 @@
 		AtMs: c.At.UnixMilli(), Format: uint32(format), Document: c.Document.Encode()})
 }
 
-// decodeChange reads what is in the log: a change, or the message that holds something else.
-func decodeChange(b []byte) (*schema.Change, agreement.Change, error) {
+// decode reads what is in the log: a change, or the message that holds something else.
+func (i *Instance) decode(b []byte) (*schema.Change, agreement.Change, error) {
 	m := &schema.Change{}
 	if err := proto.Unmarshal(b, m); err != nil {
 		return nil, agreement.Change{}, fmt.Errorf("a change in the log can't be read: %w", err)
@@ -254,7 +251,7 @@
 			agreement.Format,
 		)
 	}
-	if m.Command != nil || m.Duty != nil || m.Schedule != nil || m.Enter {
+	if m.Command != nil || m.Enter || i.cfg.Rules.Spoken(m) {
 		return m, agreement.Change{}, nil
 	}
 	doc, err := agreement.Decode(m.Document)
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -284,8 +284,10 @@
 
 func (i *Instance) operate(r *request, op *schema.Operation, number uint64) error {
 	switch op.Kind {
-	case schema.Operation_HAND_ON, schema.Operation_PAUSE, schema.Operation_RESUME:
-		return i.operateDuty(r, op)
+	case schema.Operation_ADD, schema.Operation_PROMOTE, schema.Operation_REMOVE, schema.Operation_REPLACE,
+		schema.Operation_TRANSFER:
+	default:
+		return i.operateSubject(r, op)
 	}
 	m, known := i.state.MemberNamed(op.Name)
 	if op.Kind != schema.Operation_ADD && !known {
--- a/internal/consensus/runner.go
+++ b/internal/consensus/runner.go
@@ -15,9 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"moorstack/internal/agreement"
-	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
-	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 	"moorstack/internal/store"
 )
@@ -43,17 +41,12 @@
 	Permit func(rollout.Permit)
 	// Stage is told of a change that the fronts must be made ready for; Staged is the answer.
 	Stage func(agreement.Revision)
-	// Duties is told, on the same goroutine, what this instance holds, whenever that changes. It
-	// must not wait.
-	Duties func([]duty.Held)
 	// Standing is told, on the same goroutine, how this instance stands where something is owned by
 	// placement, whenever that changes. It must not wait.
 	Standing func(Standing)
-	// Fire is told, on the same goroutine, of occurrences that this instance is to fire, and Events of
-	// what was agreed on of triggers. They must not wait.
-	Fire   func([]schedule.Item)
-	Events func([]schedule.Event)
-	Labels []string // what this instance has that duties ask for
+	// Told is told, on the same goroutine, what subjects have to say: whose a word is its type says. It
+	// must not wait.
+	Told func(word any)
 }
 
 // Runner is an instance with a clock, a disk and a network. One goroutine drives it.
@@ -104,7 +97,6 @@
 		r.store.Close()
 		return nil, err
 	}
-	r.inst.Labels(cfg.Labels)
 	r.publish()
 	return r, nil
 }
@@ -195,17 +187,13 @@
 	if e.Stage != nil && r.cfg.Stage != nil {
 		r.cfg.Stage(*e.Stage)
 	}
-	if e.Duties != nil && r.cfg.Duties != nil {
-		r.cfg.Duties(*e.Duties)
-	}
 	if e.Standing != nil && r.cfg.Standing != nil {
 		r.cfg.Standing(*e.Standing)
 	}
-	if len(e.Events) > 0 && r.cfg.Events != nil {
-		r.cfg.Events(e.Events)
-	}
-	if len(e.Fire) > 0 && r.cfg.Fire != nil {
-		r.cfg.Fire(e.Fire)
+	for _, word := range e.Told {
+		if r.cfg.Told != nil {
+			r.cfg.Told(word)
+		}
 	}
 	if e.Permit != nil && r.cfg.Permit != nil {
 		r.cfg.Permit(*e.Permit)
@@ -337,18 +325,19 @@
 	return a.Outcome, a.Err
 }
 
-// Duty puts a holder's or an operator's word into the log and waits for what becomes of it.
-func (r *Runner) Duty(ctx context.Context, c duty.Command) (agreement.Outcome, error) {
-	a, err := r.ask(ctx, func() Ticket { return r.inst.Duty(c) })
+// Say puts a subject's word into the log, with its id in it, and waits for what becomes of it.
+func (r *Runner) Say(ctx context.Context, section string, e *schema.Change, id string) (agreement.Outcome,
+	error) {
+	a, err := r.ask(ctx, func() Ticket { return r.inst.Say(section, e, id) })
 	if err != nil {
 		return agreement.Outcome{}, err
 	}
 	return a.Outcome, a.Err
 }
 
-// Fired says what became of occurrences that this instance was to fire. It does not wait.
-func (r *Runner) Fired(results []schedule.Outcome) {
-	go r.do(context.Background(), func() { r.inst.Fired(results) })
+// Take gives a subject what the rest of the node has to say. It does not wait.
+func (r *Runner) Take(section string, word any) {
+	go r.do(context.Background(), func() { r.inst.Take(section, word) })
 }
 
 // Away says whether this instance is about to end, and so hands on what it holds.
--- a/internal/consensus/session.go
+++ b/internal/consensus/session.go
@@ -9,9 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorstack/internal/agreement"
-	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
-	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 )
 
@@ -38,9 +36,10 @@
 	told    bool
 	staging string // the change that the fronts have been asked to be ready for
 
-	duties duties
-	seats  seats
-	plans  plans
+	seats seats
+	parts []subjectPart
+	away  bool            // this instance is about to end
+	aways map[uint64]bool // which members have said so, for the leader
 }
 
 // Clock tells the time before an input: on a clock that goes on while the process, or the
@@ -88,16 +87,13 @@
 			Asked:  time.Duration(r.AskedNs),
 			Staged: r.Staged, Refused: r.Refused, Closed: r.Closed, Attempt: int(r.Attempt),
 			Running: r.Running})
-		i.ses.duties.told(from, r.Away, r.Labels)
-		i.read(from, schedule.Reading{Wall: r.WallNs, Version: r.PlanVersion, Zones: r.Zones})
+		i.heardOf(from, r)
 	}
 	if g := m.Grant; g != nil {
 		if g.AskedNs > int64(i.ses.now) {
 			return fmt.Errorf("a lease that was asked for in the time to come")
 		}
-		i.granted(rollout.Grant{Epoch: g.Epoch, Asked: time.Duration(g.AskedNs),
-			For: time.Duration(g.ForNs)}, g.Index, g.Applied)
-		i.dated(time.Duration(g.AskedNs), g.FleetNs)
+		i.granted(g)
 	}
 	i.sessions()
 	return nil
@@ -137,8 +133,7 @@
 			i.ses.holder.Old()
 		}
 		i.tellPermit()
-		i.tellDuties()
-		i.scheduled()
+		i.actSubjects()
 		i.tellStanding()
 		i.stage()
 	})
@@ -151,12 +146,16 @@
 	switch {
 	case !leads && x.leader != nil:
 		x.leader = nil
+		for _, p := range x.parts {
+			p.part.Lead(x.now, 0)
+		}
 		clear(x.waiting)
 		x.asked, x.read, x.index = nil, "", 0
 	case leads && (x.leader == nil || x.leader.Term() != s.GetTerm()):
 		x.leader = rollout.NewLeader(x.now, s.GetTerm())
-		x.duties.leader = duty.NewLeader(x.now, s.GetTerm())
-		x.plans.leader = schedule.NewLeader(s.GetTerm())
+		for _, p := range x.parts {
+			p.part.Lead(x.now, s.GetTerm())
+		}
 		clear(x.waiting)
 		x.asked, x.read, x.index = nil, "", 0
 		x.holder.Again()
@@ -180,23 +179,34 @@
 	if !due {
 		return
 	}
+	m := &schema.SessionReport{Nonce: r.Nonce, Epoch: r.Epoch, AskedNs: int64(r.Asked), Staged: r.Staged,
+		Refused: r.Refused, Closed: r.Closed, Attempt: int64(r.Attempt), Running: r.Running, Away: x.away}
+	for _, p := range x.parts {
+		p.part.Report(i.view(p), m)
+	}
 	if s.Lead == i.identity.Id {
 		i.reported(r)
-		x.duties.told(i.identity.Id, x.duties.away, x.duties.labels)
-		i.read(i.identity.Id, i.reading())
+		i.heardOf(i.identity.Id, m)
 		return
 	}
-	own := i.reading()
-	i.say(s.Lead, &schema.SessionMessage{Report: &schema.SessionReport{Nonce: r.Nonce, Epoch: r.Epoch,
-		AskedNs: int64(r.Asked), Staged: r.Staged, Refused: r.Refused, Closed: r.Closed,
-		Attempt: int64(r.Attempt), Running: r.Running, Away: x.duties.away, Labels: x.duties.labels,
-		WallNs: own.Wall, PlanVersion: own.Version, Zones: own.Zones}})
+	i.say(s.Lead, &schema.SessionMessage{Report: m})
 }
 
 func (i *Instance) say(to uint64, m *schema.SessionMessage) {
 	i.out.Sessions = append(i.out.Sessions, SessionMessage{to, m})
 }
 
+// granted takes a lease, from a leader that had applied the log so far.
+func (i *Instance) granted(m *schema.SessionGrant) {
+	x := &i.ses
+	g := rollout.Grant{Epoch: m.Epoch, Asked: time.Duration(m.AskedNs), For: time.Duration(m.ForNs)}
+	x.holder.Granted(g)
+	x.seats.right.Granted(g.Epoch, g.Asked, g.For, m.Applied, i.applied)
+	for _, p := range x.parts {
+		p.part.Granted(x.now, m, i.applied)
+	}
+}
+
 // confirm asks a majority whether this instance leads still, and answers the reports that came
 // before the question.
 func (i *Instance) confirm() {
@@ -207,15 +217,16 @@
 			if !ok {
 				continue
 			}
-			g := x.leader.Grant(x.now, r, i.state.Rollout(), i.policy())
-			index := i.dutiesFrom(member.ID)
+			lease := x.leader.Grant(x.now, r, i.state.Rollout(), i.policy())
+			g := &schema.SessionGrant{Epoch: lease.Epoch, AskedNs: int64(lease.Asked),
+				ForNs: int64(lease.For), Applied: i.applied}
+			for _, p := range x.parts {
+				p.part.Grant(i.view(p), member.ID, g)
+			}
 			if member.ID == i.identity.Id {
-				i.granted(g, index, i.applied)
-				i.dated(g.Asked, i.fleet())
+				i.granted(g)
 			} else {
-				i.say(member.ID, &schema.SessionMessage{Grant: &schema.SessionGrant{Epoch: g.Epoch,
-					AskedNs: int64(g.Asked), ForNs: int64(g.For), Index: index, Applied: i.applied,
-					FleetNs: i.fleet()}})
+				i.say(member.ID, &schema.SessionMessage{Grant: g})
 			}
 		}
 		x.asked, x.read, x.index = nil, "", 0
@@ -253,8 +264,7 @@
 		}
 		_ = i.rn.Propose(encodeCommand(c)) // dropped, it is asked for again
 	}
-	i.judgeDuties()
-	i.judgeSchedule()
+	i.judgeSubjects()
 }
 
 // enter asks for the newest format, once every instance is known to read it.
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -26,7 +26,7 @@
 	Members  []MemberStatus
 	Halted   error
 	Rollout  Rollout
-	Schedule *Schedule // nil: there are no triggers
+	Subjects map[string]any // how each stands that has something to say, by its section
 }
 
 // MemberStatus is how a member stands, as far as this instance knows.
@@ -68,7 +68,7 @@
 	}
 	st.Revision = i.state.Newest().Revision
 	st.Rollout = i.rollout()
-	st.Schedule = i.schedule()
+	st.Subjects = i.subjects()
 	for _, m := range i.state.Members() {
 		ms := MemberStatus{Member: m, Voter: slices.Contains(i.conf.GetVoters(), m.ID)}
 		if s.RaftState == raft.StateLeader {
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"moorstack/internal/consensus"
+	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 )
 
 // describeSchedule says how the triggers stand, where there are any.
 func describeSchedule(out *schema.StatusReply, st consensus.Status) {
-	x := st.Schedule
-	if x == nil {
+	x, ok := st.Subjects[schedule.Section].(*schedule.Status)
+	if !ok {
 		return
 	}
 	s := &schema.ScheduleStatus{Triggers: uint32(x.Triggers), Owned: uint32(x.Owned), Open: uint32(x.Open),
--- /dev/null
+++ b/internal/node/followers.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"moorstack/brain"
+	"moorstack/internal/agreement"
+	"moorstack/internal/consensus"
+	"moorstack/internal/duty"
+	"moorstack/internal/schedule"
+)
+
+// follower is a part of a node that goes by the agreed document and by who is there.
+type follower interface {
+	// read takes in what a document that is in force says. The function that it gives takes that over, in
+	// the turn in which the fronts run it.
+	read(d *agreement.Document, set brain.Settings) func()
+	// stands takes the agreement's word on who is there. It is called on the runner's goroutine.
+	stands(s consensus.Standing)
+}
+
+// bearer is a follower that can't keep every document that is valid.
+type bearer interface {
+	// bears says why a document can't be kept here.
+	bears(d *agreement.Document) error
+}
+
+// followers are those that there are, in the order in which they are told.
+func (i *Instance) followers() []follower { return []follower{i.rates, i.plans, i.shares, i.words} }
+
+// bears says why this instance can't keep what a document says.
+func (i *Instance) bears(d *agreement.Document) error {
+	if err := i.bearsLease(d); err != nil {
+		return err
+	}
+	for _, f := range i.followers() {
+		if b, ok := f.(bearer); ok {
+			if err := b.bears(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// read has the followers take in a document, and gives what takes it over.
+func (i *Instance) read(d *agreement.Document, set brain.Settings) func() {
+	var turns []func()
+	for _, f := range i.followers() {
+		turns = append(turns, f.read(d, set))
+	}
+	return func() {
+		for _, turn := range turns {
+			turn()
+		}
+	}
+}
+
+// stands tells the followers who is there.
+func (i *Instance) stands(s consensus.Standing) {
+	for _, f := range i.followers() {
+		f.stands(s)
+	}
+}
+
+// told takes what the subjects have to say. It is called on the runner's goroutine.
+func (i *Instance) told(word any) {
+	switch word := word.(type) {
+	case []duty.Held:
+		i.keeper.tell(word)
+	case schedule.Clock:
+		i.plans.dated(word)
+	case []schedule.Event:
+		i.plans.audited(word)
+	case []schedule.Item:
+		i.plans.fire(word)
+	}
+}
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -19,11 +19,8 @@
 	"moorstack/internal/consensus"
 	"moorstack/internal/control"
 	"moorstack/internal/core"
-	"moorstack/internal/duty"
 	"moorstack/internal/keys"
 	"moorstack/internal/peers"
-	"moorstack/internal/placement"
-	"moorstack/internal/ratelimit"
 	"moorstack/internal/rollout"
 	"moorstack/internal/routing"
 	"moorstack/internal/schema"
@@ -147,19 +144,11 @@
 	}
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement"), Wall: wall,
-			Zones: i.zones}, Name: cfg.Name,
+			Zones: i.zones, Labels: cfg.labels()}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: func(r agreement.Revision) { offer(i.latest, r) },
 		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted,
-		Duties: func(held []duty.Held) { i.keeper.tell(held) },
-		Standing: func(s consensus.Standing) {
-			i.rates.stands(s)
-			i.node.loop.Post(func() {
-				i.plans.stands(s)
-				i.shares.stands(s)
-				i.words.stands(s)
-			})
-		}, Fire: i.plans.fire, Events: i.plans.audited, Labels: cfg.labels()})
+		Standing: i.stands, Told: i.told})
 	if err != nil {
 		return err
 	}
@@ -299,9 +288,6 @@
 	if err == nil {
 		err = i.bears(r.Document)
 	}
-	if err == nil {
-		err = i.bearsTriggers(r.Document)
-	}
 	if err == nil {
 		err = i.node.CanConfigure(t)
 	}
@@ -319,8 +305,8 @@
 	i.runner.Staged(r.ID, nil)
 }
 
-// bears says why this instance can't keep what the document says of leases.
-func (i *Instance) bears(d *agreement.Document) error {
+// bearsLease says why this instance can't keep what the document says of leases.
+func (i *Instance) bearsLease(d *agreement.Document) error {
 	p, _ := rollout.ReadPolicy(d.Sections[rollout.Section])
 	if err := p.Bears(time.Duration(i.cfg.Peers.Tick)); err != nil {
 		return tomlfile.At(i.cfg.path, i.cfg.raw, "peers.tick", "%v", err)
@@ -348,13 +334,9 @@
 		t, err = i.termsOf(r.Document)
 	}
 	if err == nil {
-		shared, settings := sharesOf(r.Document), t.Settings
-		limits, planned := limitsOf(r.Document), triggersOf(r.Document)
+		follow := i.read(r.Document, t.Settings)
 		t.Revision = func() {
-			i.rates.configure(limits)
-			i.plans.configure(&planned, r.Document)
-			i.shares.configure(shared, settings)
-			i.words.configure(shared)
+			follow()
 			if r.Revision > i.gate.running {
 				i.gate.running = r.Revision
 				i.gate.note("run %d", r.Revision)
@@ -388,12 +370,7 @@
 // Rules are what all instances check documents by. Zones and kinds are each instance's
 // own, and not checked here.
 func Rules() agreement.Rules {
-	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes,
-		ratelimit.Section: checkRates,
-		placement.Section: func(_ *agreement.Document, values map[string]string) []string {
-			_, wrong := placement.ReadPolicy(values)
-			return wrong
-		}}}
+	return agreement.Rules{Sections: map[string]agreement.SectionRule{RoutesSection: checkRoutes}}
 }
 
 func checkRoutes(d *agreement.Document, values map[string]string) []string {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -192,7 +192,7 @@
 	c.ID = fmt.Sprintf("duty/%s/%d/%d", k.i.cfg.Name, c.Number, k.made)
 	k.mu.Unlock()
 	c.AtMS = time.Now().UnixMilli()
-	return k.i.runner.Duty(ctx, c)
+	return k.i.runner.Say(ctx, duty.Section, duty.Encode(c), c.ID)
 }
 
 // patience is how long an instance that ends takes for handing on what it holds.
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"moorstack/brain"
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
 	"moorstack/internal/core"
@@ -64,28 +65,10 @@
 	return names
 }
 
-func checkRates(d *agreement.Document, values map[string]string) []string {
-	p, wrong := ratelimit.ReadPolicy(values, classesOf(d))
-	if len(wrong) > 0 || p.Account != ratelimit.Tenant {
-		return wrong
-	}
-	tenants := map[string]bool{}
-	for _, t := range d.Tenants {
-		tenants[t.Name] = true
-	}
-	unknown := func(account string) {
-		if !tenants[account] {
-			wrong = append(wrong, fmt.Sprintf("account %s: there is no tenant of that name, and accounts "+
-				"are tenants; name a header with account = \"X-Account\", or the tenant", account))
-		}
-	}
-	for account := range p.Accounts {
-		unknown(account)
-	}
-	for k := range p.Classes {
-		unknown(k.Account)
-	}
-	return wrong
+// read implements follower.
+func (r *rates) read(d *agreement.Document, _ brain.Settings) func() {
+	p := limitsOf(d)
+	return func() { r.configure(p) }
 }
 
 // configure takes over what the configuration in force says, in the turn in which the fronts run it.
@@ -110,7 +93,7 @@
 	}
 }
 
-// stands takes the agreement's word on who is there. It is called on the runner's goroutine.
+// stands implements follower.
 func (r *rates) stands(s consensus.Standing) {
 	tables := make([]*placement.Table, len(s.Views))
 	for n, v := range s.Views {
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -51,8 +51,16 @@
 	}
 }
 
-// stands takes the agreement's word on who is there. It is called on the loop.
-func (s *shares) stands(x consensus.Standing) {
+// read implements follower.
+func (s *shares) read(d *agreement.Document, set brain.Settings) func() {
+	p := sharesOf(d)
+	return func() { s.configure(p, set) }
+}
+
+// stands implements follower.
+func (s *shares) stands(x consensus.Standing) { s.i.node.loop.Post(func() { s.stand(x) }) }
+
+func (s *shares) stand(x consensus.Standing) {
 	now := consensus.Boottime()
 	s.standing = x
 	for _, v := range x.Views {
--- a/internal/node/triggers.go
+++ b/internal/node/triggers.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"moorstack/brain"
 	"moorstack/internal/agreement"
 	"moorstack/internal/calendar"
 	"moorstack/internal/consensus"
@@ -27,6 +28,7 @@
 	policy   *schedule.Policy
 	giveUp   map[string]time.Duration // by class
 	standing consensus.Standing
+	clock    schedule.Clock
 	known    map[uint64]*firing // by number, until the outcome is told
 	waiting  []*firing          // to be begun, the first first
 	results  []schedule.Outcome
@@ -89,10 +91,32 @@
 		"zones": fmt.Sprintf("%016x", t.i.zones.Version(p.ZoneNames()))}).Info("triggers are kept")
 }
 
-// stands takes the agreement's word on this instance's session. It is called on the loop.
+// read implements follower.
+func (t *triggers) read(d *agreement.Document, _ brain.Settings) func() {
+	p := triggersOf(d)
+	return func() { t.configure(&p, d) }
+}
+
+// bears says why this instance can't keep the triggers of a document.
+func (t *triggers) bears(d *agreement.Document) error {
+	p := triggersOf(d)
+	if _, err := p.Plans(t.i.zones); err != nil {
+		return fmt.Errorf("section %q: %w", schedule.Section, err)
+	}
+	return nil
+}
+
+// stands implements follower.
 func (t *triggers) stands(s consensus.Standing) {
-	t.standing = s
-	t.soon(0)
+	t.i.node.loop.Post(func() {
+		t.standing = s
+		t.soon(0)
+	})
+}
+
+// dated takes the fleet's time. It is called on the runner's goroutine.
+func (t *triggers) dated(c schedule.Clock) {
+	t.i.node.loop.Post(func() { t.clock = c })
 }
 
 // fire takes what this instance is to fire. It is called on the runner's goroutine.
@@ -132,7 +156,7 @@
 // run begins what may be begun, and tells what has ended.
 func (t *triggers) run() {
 	if len(t.results) > 0 {
-		t.i.runner.Fired(t.results)
+		t.i.runner.Take(schedule.Section, t.results)
 		t.results = nil
 	}
 	now := consensus.Boottime()
@@ -180,10 +204,7 @@
 
 // fleet is the fleet's time, Unix seconds; 0: it is not known.
 func (t *triggers) fleet(now time.Duration) int64 {
-	if t.standing.Fleet == 0 {
-		return 0
-	}
-	return (t.standing.Fleet + int64(now-t.standing.FleetAt)) / int64(time.Second)
+	return t.clock.Now(now) / int64(time.Second)
 }
 
 func (t *triggers) begin(f *firing, now time.Duration) {
@@ -259,15 +280,6 @@
 	}
 }
 
-// bearsTriggers says why this instance can't keep the triggers of a document.
-func (i *Instance) bearsTriggers(d *agreement.Document) error {
-	p := triggersOf(d)
-	if _, err := p.Plans(i.zones); err != nil {
-		return fmt.Errorf("section %q: %w", schedule.Section, err)
-	}
-	return nil
-}
-
 // Next implements control.Host: when each trigger of a document comes next, a line each.
 func (i *Instance) Next(d *agreement.Document, from time.Time) ([]string, error) {
 	p := triggersOf(d)
--- a/internal/node/witnesses.go
+++ b/internal/node/witnesses.go
@@ -58,8 +58,16 @@
 	w.tick()
 }
 
-// stands takes the agreement's word on who is there. It is called on the loop.
-func (w *witnesses) stands(s consensus.Standing) {
+// read implements follower.
+func (w *witnesses) read(d *agreement.Document, _ brain.Settings) func() {
+	p := sharesOf(d)
+	return func() { w.configure(p) }
+}
+
+// stands implements follower.
+func (w *witnesses) stands(s consensus.Standing) { w.i.node.loop.Post(func() { w.stand(s) }) }
+
+func (w *witnesses) stand(s consensus.Standing) {
 	// Hazard: this comes with every lease, and who owns what takes thousands of hashes to work out, on
 	// the loop.
 	if len(s.Views) == 0 && s.Own == w.own {
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -293,6 +293,7 @@
 	turns(t, f, "DRAINING", 20*grace)
 	old, now := 0, 0
 	a.do(func() { old = a.calls })
+	a.turn("SERVING") // told to a watch that the front has left, or has not
 	b.do(func() { now = b.calls })
 	for asked := 0; asked < now+6; time.Sleep(time.Millisecond) {
 		b.do(func() { asked = b.calls })
--- a/internal/prove/front.go
+++ b/internal/prove/front.go
@@ -5,6 +5,7 @@
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
+	"moorstack/internal/duty"
 	"moorstack/internal/rollout"
 )
 
@@ -62,8 +63,11 @@
 	for _, r := range e.Revisions {
 		m.later(int64(1+w.rng.IntN(6)), func() { m.run(r) })
 	}
-	if e.Duties != nil {
-		held := *e.Duties
+	for _, word := range e.Told {
+		held, ok := word.([]duty.Held)
+		if !ok {
+			continue
+		}
 		m.later(int64(1+w.rng.IntN(6)), func() { m.holds(held) })
 	}
 	if e.Permit != nil {
--- a/internal/prove/practice.go
+++ b/internal/prove/practice.go
@@ -58,7 +58,7 @@
 func (m *machine) word(c duty.Command, then func(consensus.Answer)) {
 	m.w.made++
 	c.ID = fmt.Sprintf("duty-%d", m.w.made)
-	t := m.live().Duty(c)
+	t := m.live().Say(duty.Section, duty.Encode(c), c.ID)
 	m.answers[t] = then
 	m.drive()
 }
--- a/internal/ratelimit/policy.go
+++ b/internal/ratelimit/policy.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"moorstack/internal/subject"
 )
 
 // Section is the section of the agreed document that says what accounts may send.
@@ -198,3 +200,27 @@
 	}
 	return l, nil
 }
+
+// Check gives what is wrong with the section of a document.
+func Check(t subject.Terms) []string {
+	p, wrong := ReadPolicy(t.Values, t.ClassNames())
+	if len(wrong) > 0 || p.Account != Tenant {
+		return wrong
+	}
+	// Hazard: what is wrong is part of what is agreed on, and must stand in one order everywhere.
+	unknown := func(account string) {
+		if !slices.Contains(t.Tenants, account) {
+			wrong = append(wrong, fmt.Sprintf("account %s: there is no tenant of that name, and accounts "+
+				"are tenants; name a header with account = \"X-Account\", or the tenant", account))
+		}
+	}
+	for _, account := range slices.Sorted(maps.Keys(p.Accounts)) {
+		unknown(account)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(p.Classes), func(a, b Key) int {
+		return strings.Compare(a.String(), b.String())
+	}) {
+		unknown(k.Account)
+	}
+	return wrong
+}
