Audit parts of cold budgets at real processes, and triggers after a restore

Parts of a cold worker's budget were shown by stories in virtual time only. A group made from a backup while its triggers fire each second is played with three real instances: nothing that the old group fired comes again, and nothing is left out from the new one's first occurrence on.

--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -243,6 +243,10 @@
 	t.add(fmt.Sprintf(
 		"%d admissions, %d of accounts (%.0f%% of their rates) and %d acts in duties audited, %d violations",
 		r.Admitted, r.Rated, 100*r.RateUse, r.Acts, len(r.Violations)))
+	if r.Rated > 0 {
+		t.add(fmt.Sprintf("%v at the most between two admissions of one account; %d parts of cold workers' "+
+			"budgets audited", r.RateGap.Round(10*time.Millisecond), r.Parts))
+	}
 	if f := r.Fired; f.Intended > 0 {
 		t.add(fmt.Sprintf("%d occurrences intended, %d fired, %d taken over, %d may have run, %d refused, "+
 			"%d failed",
--- a/cmd/moorstack/triggers_test.go
+++ b/cmd/moorstack/triggers_test.go
@@ -3,9 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"moorstack/internal/stage"
 )
 
 // Triggers are set in the agreed configuration, and seen before and after by the operators' commands.
@@ -124,3 +129,65 @@
 		})
 	}
 }
+
+// A group made from a backup goes on with the triggers from where it begins: what the old one has fired it
+// fires not again, under whatever number, and from its first occurrence on it leaves none out.
+func TestTriggersAfterARestore(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	var mu sync.Mutex
+	took := map[string][]string{} // by occurrence: whose workers
+	g.stages([]string{"n1", "n2", "m1"}, func(name string) stage.Options {
+		return stage.Options{TookBy: func(_, key string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if strings.HasPrefix(key, "each-second@") {
+				took[key] = append(took[key], name)
+			}
+		}}
+	})
+	count := func(names ...string) (n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, by := range took {
+			if slices.Contains(names, by[0]) {
+				n++
+			}
+		}
+		return n
+	}
+	g.form("n1", "n2")
+	if out, code := g.propose("n1", steady+"[section.schedule]\nzone = \"Asia/Muscat\"\n"+
+		"\"trigger.each-second\" = \"* * * * * * class=trip-book\"\n"); code != 0 {
+		t.Fatal(out)
+	}
+	within(t, time.Minute, "the first ones are fired", func() bool { return count("n1", "n2") >= 3 })
+	g.must("cluster", "backup", "all.backup", "--config", "n1.toml")
+	was := count("n1", "n2")
+	within(t, time.Minute, "more are, after the backup", func() bool { return count("n1", "n2") >= was+2 })
+	g.kill("n1", syscall.SIGKILL)
+	g.kill("n2", syscall.SIGKILL)
+	g.start("m1")
+	g.must("cluster", "init", "--from", "all.backup", "--config", "m1.toml")
+	within(t, time.Minute, "the new group fires", func() bool { return count("m1") >= 4 })
+	g.kill("m1", syscall.SIGKILL)
+	mu.Lock()
+	defer mu.Unlock()
+	var own []time.Time
+	for key, by := range took {
+		if len(by) != 1 {
+			t.Errorf("%s was taken by workers of %v", key, by)
+		}
+		if by[0] == "m1" {
+			at, err := time.Parse("2006-01-02T15:04:05", strings.TrimPrefix(key, "each-second@"))
+			check(t, err)
+			own = append(own, at)
+		}
+	}
+	slices.SortFunc(own, time.Time.Compare)
+	for n := range own[1:] {
+		if d := own[n+1].Sub(own[n]); d != time.Second {
+			t.Errorf("between %v and %v occurrences were left out", own[n], own[n+1])
+		}
+	}
+}
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,7 @@
 	view     placement.View
 	parts    placement.Parts
 	part     [3]int // me, of, and whether there is one, as the module was told last
+	noted    string
 	timer    *net.Timer
 	turn     int // of what is being worked out; older ones come too late
 }
@@ -106,11 +108,26 @@
 			}
 			c.Configure(fitted)
 		}
-		s.i.gate.note("part %d %d", of, part[2])
 	}
+	s.note(me, of, ok)
 	s.timer = s.i.node.loop.After(lookAgain, s.apportion)
 }
 
+// note tells audits which part is this instance's, and until when.
+func (s *shares) note(me, of int, ok bool) {
+	if s.i.gate.journal == nil {
+		return
+	}
+	line := "part none"
+	if ok {
+		line = fmt.Sprintf("part %d %d %d", me, of, s.standing.Until)
+	}
+	if line != s.noted {
+		s.noted = line
+		s.i.gate.note("%s", line)
+	}
+}
+
 // look ends this instance's part before a job that came while it stood still is worked on.
 func (s *shares) look(now time.Duration) {
 	if s.part[2] == 1 && now >= s.standing.Until {
--- a/internal/rig/rates.go
+++ b/internal/rig/rates.go
@@ -36,6 +36,7 @@
 	// use is the part of what the accounts' rates allow that was admitted, from each one's first
 	// admission to its last.
 	use float64
+	gap time.Duration // the longest between two admissions of one account
 }
 
 // auditRates looks, for each bucket, for a window in which more was admitted at all instances together
@@ -55,7 +56,7 @@
 		limit       ratelimit.Limit
 		seen, wrong bool
 	}
-	runs := map[string]uint64{}
+	runs, latest := map[string]uint64{}, map[string]time.Duration{}
 	levels := map[bucket]*level{}
 	take := func(e entry, b bucket) {
 		p, known := policies[b.version]
@@ -96,6 +97,10 @@
 				continue
 			}
 			r.admitted++
+			if at, ok := latest[account]; ok {
+				r.gap = max(r.gap, e.at-at)
+			}
+			latest[account] = e.at
 			take(e, bucket{runs[e.who], ratelimit.Key{Account: account}})
 			take(e, bucket{runs[e.who], ratelimit.Key{Account: account, Class: class}})
 		}
