--- a/cmd/moorstack/rates_test.go
+++ b/cmd/moorstack/rates_test.go
@@ -74,3 +74,15 @@
 	}
 	g.expect(0, "jobs_refused_by_rates", "cluster", "status", "--config", "n1.toml", "--output", "json")
 }
+
+// While one instance learns late of others that come back, parts of cold workers' budgets add up, and so do
+// the slices of accounts: also of some thousands that have no line of their own.
+func TestSharesAddUpWhileOneLags(t *testing.T) {
+	t.Parallel()
+	g := &group{t: t, dir: t.TempDir()}
+	story, err := os.ReadFile("../../docs/examples/lag.txt")
+	check(t, err)
+	check(t, os.WriteFile(filepath.Join(g.dir, "story.txt"), story, 0o600))
+	g.expect(0, ", 0 violations", "prove", "cluster", "--processes", "5", "--story", "story.txt", "--for",
+		"14s", "--duties", "0", "--triggers", "0", "--accounts", "6", "--names", "5000", "--rate", "100")
+}
--- /dev/null
+++ b/internal/ratelimit/recall_test.go
@@ -0,0 +1,104 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"moorstack/internal/placement"
+)
+
+// What fronts have left of an owner that has ended counts as out with the next one, which begins as soon as
+// all of them have said so, whole, by its view, and not before.
+func TestRecall(t *testing.T) {
+	words := map[string]string{"account": "X", "tick": "50ms", "term": "2s", "account.m2232": "100/s burst=20"}
+	p, wrong := ReadPolicy(words, nil)
+	if len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	const lease = 500 * time.Millisecond
+	var members []placement.Member
+	for id := range uint64(3) {
+		members = append(members, placement.Member{Seat: placement.Seat{Member: id + 1, Epoch: id + 1}})
+	}
+	first := placement.Of(placement.View{Number: 1, Members: members})
+	next := placement.Of(placement.View{Number: 2, Members: members[1:], Over: []placement.Seat{members[0].Seat}})
+	old, owner, front := NewAuthority(), NewAuthority(), NewFront(0)
+	for _, a := range []*Authority{old, owner} {
+		a.Configure(0, p)
+	}
+	front.Configure(0, p)
+	old.View(0, first, members[0].Seat, lease, false)
+	owner.View(0, first, members[1].Seat, lease, false)
+	front.View(0, first, members[2].Seat)
+	now := time.Minute
+	for range 30 {
+		front.Take(now, "m2232", "")
+	}
+	asks, _ := front.Tick(now)
+	for _, a := range asks[members[0].Seat] {
+		old.Hear(now, members[2].Seat, a)
+	}
+	lent := 0
+	for _, g := range old.Tick(now)[members[2].Seat] {
+		front.Granted(now, members[0].Seat, g)
+		lent += g.Jobs
+	}
+	if lent != 20 {
+		t.Fatalf("%d are lent", lent)
+	}
+	owner.View(now, next, members[1].Seat, lease, false)
+	front.View(now, next, members[2].Seat)
+	waits := func(why string) {
+		t.Helper()
+		if at := owner.free("m2232"); at <= now {
+			t.Fatalf("it lends %s", why)
+		}
+	}
+	owner.Leave(now, members[1].Seat, Left{View: 2})
+	waits("before the front has said anything")
+	owner.Leave(now, members[2].Seat, Left{View: 1})
+	waits("by a word on the view before")
+	_, lefts := front.Tick(now)
+	said := lefts[members[1].Seat]
+	if len(said) != 1 || said[0].Total != 1 || said[0].Books[0].Out != 20 {
+		t.Fatalf("the front says %+v", said)
+	}
+	part := said[0]
+	part.Total = 2
+	owner.Leave(now, members[2].Seat, part)
+	waits("by a part of a word")
+	owner.Leave(now, members[2].Seat, said[0])
+	if at := owner.free("m2232"); at > now {
+		t.Fatalf("it waits for %v more though all have said so", at-now)
+	}
+	// All that is allowed at once is out, until it has surely run out.
+	for at := now; at < now+2*time.Second; at += 100 * time.Millisecond {
+		owner.Hear(at, members[1].Seat, Ask{Key: Key{Account: "m2232"}, Report: uint64(at), Want: 9, Asked: at})
+		for _, g := range owner.Tick(at)[members[1].Seat] {
+			if g.Jobs > 0 {
+				t.Fatalf("%d are lent after %v, beside the 20 that are out", g.Jobs, at-now)
+			}
+		}
+	}
+}
+
+// A word on many accounts comes in parts, and counts when it is whole, in whatever order they come.
+func TestRecallInParts(t *testing.T) {
+	r, seat := newRecall(), placement.Seat{Member: 1, Epoch: 1}
+	r.members = []placement.Member{{Seat: seat}}
+	for part := range 3 {
+		if r.least() != 0 {
+			t.Fatalf("%d parts are taken for the whole", part)
+		}
+		l := Left{View: 7, Total: 30}
+		for n := range 10 {
+			l.Books = append(l.Books, Ceded{Key: Key{Account: fmt.Sprint(10*((part+2)%3) + n)}, Out: 1})
+		}
+		r.hear(seat, l)
+		r.hear(seat, l) // twice
+	}
+	if r.least() != 7 || len(r.whole[seat].kept) != 30 {
+		t.Errorf("%d, %d accounts", r.least(), len(r.whole[seat].kept))
+	}
+}
--- a/internal/ratelimit/story_test.go
+++ b/internal/ratelimit/story_test.go
@@ -281,11 +281,14 @@
 
 var section = map[string]string{"tick": "50ms", "term": "300ms", "default": "40/s burst=40",
 	"account.a": "100/s burst=50", "account.b": "20/s burst=10", "account.c": "60/s burst=40 floor=0.5",
-	"account.d": "10/s burst=15 floor=equal", "account.a@x": "15/s burst=5"}
+	"account.d": "10/s burst=15 floor=equal", "account.a@x": "15/s burst=5", "account.f": "5/s burst=30"}
 
 func newWorld(t testing.TB, seed uint64, nodes int, faults bool) *world {
 	words := maps.Clone(section)
 	words["parts"] = fmt.Sprint(nodes)
+	if seed%4 > 1 {
+		words["term"] = "2s" // slices outlive the lease of who has lent them
+	}
 	p, wrong := ReadPolicy(words, []string{"x", "y"})
 	if len(wrong) > 0 {
 		t.Fatal(wrong)
@@ -316,7 +319,7 @@
 func (w *world) calls(every time.Duration) {
 	var again func()
 	again = func() {
-		for i, account := range []string{"a", "b", "c", "d", "e"} {
+		for i, account := range []string{"a", "b", "c", "d", "e", "f"} {
 			// Each is quiet now and then, with what it has been lent.
 			if w.quiet && (w.now/(300*time.Millisecond)+3*time.Duration(i))%7 > 3 {
 				continue
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -44,6 +44,7 @@
 	Seed      uint64
 	Drills    int // duties to practise with
 	Accounts  int // whose rates are kept over all instances; 0: none
+	Names     int // accounts without a line of their own, to which half of the calls belong
 	Triggers  int // that fire over all of them; 0: none
 	// Clock is what all instances' clocks show at the beginning, and Speed how fast they run; the
 	// machine's own, if it is zero. OldRules is who has other zone rules than the rest.
--- a/internal/rig/jobs.go
+++ b/internal/rig/jobs.go
@@ -70,7 +70,12 @@
 		if second := int(time.Now().Unix()); rand.IntN(2) == 0 {
 			n = (second + slices.Index(f.List, p)) % f.o.Accounts
 		}
-		req.Header.Set("X-Account", fmt.Sprintf("acct-%d", n))
+		name := fmt.Sprintf("acct-%d", n)
+		// And half of the calls are of the many that have no line of their own.
+		if f.o.Names > 0 && rand.IntN(2) == 0 {
+			name = fmt.Sprintf("name-%d", rand.IntN(f.o.Names))
+		}
+		req.Header.Set("X-Account", name)
 	}
 	resp, err := client.Do(req)
 	if err == nil {
--- a/internal/rig/rates.go
+++ b/internal/rig/rates.go
@@ -14,7 +14,7 @@
 // slices are out, and raised again.
 func rateWords(accounts, instances, set int) map[string]string {
 	words := map[string]string{"account": "X-Account", "tick": "50ms", "term": "500ms",
-		"parts": strconv.Itoa(instances), "default": "25/s burst=10"}
+		"parts": strconv.Itoa(instances), "default": fmt.Sprintf("25/s burst=%d floor=equal", 2*instances)}
 	for n := range accounts {
 		rate, burst := 10+20*(n%3), 4*instances
 		if set%2 == 1 {
@@ -36,7 +36,9 @@
 	// use is the part of what the accounts' rates allow that was admitted, from each one's first
 	// admission to its last.
 	use float64
-	gap time.Duration // the longest between two admissions of one account
+	gap time.Duration // the longest between two admissions of an account that has a line of its own
+	// accounts is how many were admitted something.
+	accounts int
 }
 
 // auditRates looks, for each bucket, for a window in which more was admitted at all instances together
@@ -97,7 +99,7 @@
 				continue
 			}
 			r.admitted++
-			if at, ok := latest[account]; ok {
+			if at, ok := latest[account]; ok && policies[runs[e.who]].Accounts[account].Rate > 0 {
 				r.gap = max(r.gap, e.at-at)
 			}
 			latest[account] = e.at
@@ -112,6 +114,7 @@
 			used += l.n
 		}
 	}
+	r.accounts = len(latest)
 	if allowed > 0 {
 		r.use = float64(used) / allowed
 	}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -52,10 +52,11 @@
 	Rated    int           `json:"rated"` // admissions of accounts whose rate is kept
 	// RateUse is the part of what the accounts' rates allow that was admitted.
 	RateUse float64 `json:"rate_use"`
-	// RateGap is the longest time between two admissions of one account.
-	RateGap time.Duration `json:"rate_gap_ns"`
-	Parts   int           `json:"parts"` // of cold workers' budgets, each held for a while
-	Fired   Fired         `json:"fired"`
+	// RateGap is the longest time between two admissions of an account that has a line of its own.
+	RateGap  time.Duration `json:"rate_gap_ns"`
+	Accounts int           `json:"accounts"` // that were admitted something
+	Parts    int           `json:"parts"`    // of cold workers' budgets, each held for a while
+	Fired    Fired         `json:"fired"`
 	// in which nobody acted in a duty that went from one to another
 	Gaps       []time.Duration `json:"gaps_ns"`
 	Jobs       Jobs            `json:"jobs"`
@@ -361,7 +362,8 @@
 	acted, acts, gaps := auditDuties(all)
 	p.res.Acts, p.res.Gaps = acts, gaps
 	rated := auditRates(all, p.rates)
-	p.res.Rated, p.res.RateUse, p.res.RateGap = rated.admitted, rated.use, rated.gap
+	p.res.Rated, p.res.RateUse = rated.admitted, rated.use
+	p.res.RateGap, p.res.Accounts = rated.gap, rated.accounts
 	shared, parts := auditParts(all)
 	p.res.Parts = parts
 	var fired fired
--- a/internal/rig/story_test.go
+++ b/internal/rig/story_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+func TestAuditFindsMoreThanAWholeBudget(t *testing.T) {
+	part := func(ms int, who, rest string) entry {
+		return entry{time.Duration(ms) * time.Millisecond, who, "part", rest}
+	}
+	good := []entry{part(1, "a", "0 2 9000000"), part(2, "b", "1 2 9000000"), part(5, "a", "0 2 20000000"),
+		part(9, "b", "none"), part(20, "c", "0 1 30000000"), part(30, "a", "1 2 40000000"),
+		{31 * time.Millisecond, "a", "start", "a"}, part(32, "b", "0 1 50000000")}
+	if broken, parts := auditParts(good); len(broken) > 0 || parts != 6 {
+		t.Errorf("%v, %d parts", broken, parts)
+	}
+	for says, bad := range map[string][]entry{
+		"b takes part 0 of 2":  {part(1, "a", "0 2 9000000"), part(2, "b", "0 2 9000000")},
+		"1.333 of cold":        {part(1, "a", "0 1 9000000"), part(2, "b", "1 3 9000000")},
+		"1.500 of cold":        {part(1, "a", "1 2 9000000"), part(2, "b", "0 1 9000000"), part(3, "a", "none")},
+		`"2 2 5" is no part`:   {part(1, "a", "2 2 5")},
+		`"1 2 soon" is no par`: {part(1, "a", "1 2 soon")},
+	} {
+		if broken, _ := auditParts(bad); len(broken) != 1 || !strings.Contains(broken[0], says) {
+			t.Errorf("%v, want %q", broken, says)
+		}
+	}
+}
+
 func TestAuditFindsMoreThanARate(t *testing.T) {
 	words := map[string]string{"account.a": "10/s burst=2", "account": "X-Account"}
 	p, wrong := ratelimit.ReadPolicy(words, nil)
