Have instances own accounts and triggers by agreed weights, and say who owns what

Weights of instances were a field that nothing filled. Ruled out: each instance's own file (two would disagree while one is changed), and the document's revision in the view's number (every change would be a new view). A section of a subject that a group does not know yet is not gone by, since it may hold anything.

cluster status says what each instance owns; a dry run says what accounts may send and where, and what changes hands. The rig changes weights every twenty changes.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -134,9 +134,10 @@
 		Use:   "status",
 		Short: "Say how an instance and its group stand",
 		Long: `status says how the called instance stands: which configuration is agreed on and which one
-its fronts run, whether it is cut off and for how long, and who belongs to the group. Only
-the leader knows who is heard of and how far each has come. It answers also while there
-is no leader, and exits with 5 then, or where the agreement has stopped.`,
+its fronts run, whether it is cut off and for how long, who belongs to the group, and which part
+of accounts' rates and triggers each owns. Only the leader knows who is heard of and how far each
+has come. It answers also while there is no leader, and exits with 5 then, or where the agreement
+has stopped.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return r.call(cmd.Context(), func(ctx context.Context, c schema.ControlClient) error {
@@ -225,6 +226,9 @@
 		if m.Session != "" {
 			heard += ", session " + m.Session
 		}
+		if m.Owns > 0 {
+			heard += fmt.Sprintf(", owns %.0f%%", 100*m.Owns)
+		}
 		t.add(head, fmt.Sprintf("%s (%x) at %s, %s%s", m.Name, m.Id, m.Address, vote, heard))
 	}
 	return t
--- a/cmd/moorstack/config.go
+++ b/cmd/moorstack/config.go
@@ -380,7 +380,7 @@
 			t.add("  " + l)
 		}
 		if len(reply.Next) > 0 {
-			t.add("triggers come next:")
+			t.add("by its words:")
 		}
 		for _, l := range reply.Next {
 			t.add("  " + l)
--- a/cmd/moorstack/rates_test.go
+++ b/cmd/moorstack/rates_test.go
@@ -3,7 +3,11 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -86,3 +90,59 @@
 	g.expect(0, ", 0 violations", "prove", "cluster", "--processes", "5", "--story", "story.txt", "--for",
 		"14s", "--duties", "0", "--triggers", "0", "--accounts", "6", "--names", "5000", "--rate", "100")
 }
+
+// Instances own accounts and triggers by agreed weights: a dry run says what would change hands, the status
+// what each has; and a weight that makes no sense is refused.
+func TestWeightsOfInstances(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	all := []string{"n1", "n2", "n3"}
+	g.form(all...)
+	g.admits(all...)
+	for want, bad := range map[string]string{`"x" is not a number from 0.1 to 10`: `"weight.n1" = "x"`,
+		`"1000" is not a number`: `"weight.n1" = "1000"`, "is no key of this section": `"weights" = "2"`} {
+		if out, code := g.propose("n1", "[section.placement]\n"+bad+"\n"); code == 0 ||
+			!strings.Contains(out, want) || !strings.Contains(out, "new.toml:") {
+			t.Errorf("%s: exit %d: %s", bad, code, out)
+		}
+	}
+	owns := func(at string) (list []int) {
+		out, _ := g.run("cluster", "status", "--config", at+".toml")
+		for _, m := range regexp.MustCompile(`owns (\d+)%`).FindAllStringSubmatch(out, -1) {
+			n, err := strconv.Atoi(m[1])
+			check(t, err)
+			list = append(list, n)
+		}
+		return list
+	}
+	near := func(at string, want ...int) {
+		t.Helper()
+		var got []int
+		within(t, time.Minute, "shares by weight", func() bool {
+			got = owns(at)
+			return slices.EqualFunc(got, want, func(a, b int) bool { return max(a-b, b-a) <= 4 })
+		})
+	}
+	near("n2", 33, 33, 33)
+	words := steady + "[section.placement]\n\"weight.n1\" = \"3\"\n\"weight.n9\" = \"2\"\n" +
+		"[section.ratelimit]\naccount = \"X-Account\"\n\"account.desk-4\" = \"20/s burst=40 floor=equal\"\n"
+	if out, code := g.propose("n1", words); code != 0 {
+		t.Fatal(out)
+	}
+	near("n2", 60, 20, 20)
+	g.kill("n1", syscall.SIGKILL) // its number stays: it owns what it did
+	near("n2", 50, 50)
+	g.start("n1")
+	g.admits("n1")
+	near("n1", 60, 20, 20)
+	check(t, os.WriteFile(filepath.Join(g.dir, "even.toml"), []byte(strings.Replace(g.must("config", "get",
+		"--config", "n1.toml"), `"weight.n1" = "3"`, `"weight.n1" = "1"`, 1)), 0o600))
+	out := g.must("config", "propose", "even.toml", "--dry-run", "--config", "n3.toml")
+	for _, want := range []string{"n1 owns 33% of accounts and triggers", "of them change hands",
+		"account desk-4: 20 a second and 40 at once over all instances; of that 4 a second and 8 at",
+		"weight.n9: no instance of that name"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("a dry run does not say %q: %s", want, out)
+		}
+	}
+}
--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -135,10 +135,11 @@
 // Seated lists the members that may own something by placement: those with open sessions.
 func (s *State) Seated() []placement.Member {
 	var list []placement.Member
+	w := s.weights()
 	for _, x := range s.rollout.List() {
 		if x.Open && !x.Loose {
 			seat := placement.Seat{Member: x.Member, Epoch: x.Epoch}
-			list = append(list, placement.Member{Seat: seat, Name: x.Name})
+			list = append(list, placement.Member{Seat: seat, Name: x.Name, Weight: w.Of(x.Name)})
 		}
 	}
 	return list
@@ -338,7 +339,9 @@
 		return
 	}
 	was := s.format
-	if s.format = Format; was > 1 {
+	s.format = Format
+	s.plan()
+	if was > 1 {
 		return
 	}
 	names := map[uint64]string{}
@@ -358,10 +361,15 @@
 }
 
 // plan has the subjects go by the newest revision. It has been validated.
+//
+// Hazard: a section of a subject that the group does not know yet may hold anything, and older programs do
+// not go by it.
 func (s *State) plan() {
 	d := s.Newest().Document
 	for _, p := range s.parts {
-		p.state.Configure(termsOf(d, p.Section()))
+		if s.format >= p.Since() {
+			p.state.Configure(termsOf(d, p.Section()))
+		}
 	}
 }
 
--- a/internal/agreement/subjects.go
+++ b/internal/agreement/subjects.go
@@ -10,6 +10,7 @@
 	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
 	"moorstack/internal/subject"
+	"moorstack/internal/weights"
 )
 
 // Subjects are what a group agrees on beside the document's classes and tenants, in the order in which
@@ -19,6 +20,7 @@
 		subject.Words{Name: rollout.Section, From: 2, Rule: checkRollout},
 		duty.Subject{},
 		schedule.Subject{},
+		weights.Subject{},
 		subject.Words{Name: ratelimit.Section, From: 4, Rule: ratelimit.Check},
 		subject.Words{Name: placement.Section, From: 5, Rule: checkWorkers},
 	}
@@ -143,6 +145,23 @@
 	return o
 }
 
+// weights are the instances', as far as the group knows of any.
+func (s *State) weights() *weights.Agreed {
+	w, _ := s.Part(weights.Section).(*weights.Agreed)
+	return w
+}
+
+// View is who may own what by placement now.
+func (s *State) View() placement.View {
+	v := placement.View{Members: s.Seated()}
+	changes := uint64(0)
+	if w := s.weights(); w != nil {
+		changes = w.Changes
+	}
+	v.Number = placement.NumberOf(s.rollout.Epoch+changes, len(v.Members))
+	return v
+}
+
 // Duties is who holds what. It must not be changed.
 func (s *State) Duties() *duty.State { return s.Part(duty.Section).(*duty.Agreed).State }
 
--- a/internal/consensus/placement.go
+++ b/internal/consensus/placement.go
@@ -33,8 +33,7 @@
 // Hazard: two entries may be applied in one turn, and the view between the two is one that another instance
 // may have acted by. So each is noted, and told.
 func (i *Instance) seat() {
-	v := placement.View{Members: i.state.Seated()}
-	v.Number = placement.NumberOf(i.state.Rollout().Epoch, len(v.Members))
+	v := i.state.View()
 	ended := i.state.Ended()
 	p := &i.ses.seats
 	if v.Number == p.last.Number {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -7,6 +7,7 @@
 	"go.etcd.io/raft/v3"
 
 	"moorstack/internal/agreement"
+	"moorstack/internal/placement"
 )
 
 // Status is how an instance stands.
@@ -26,6 +27,7 @@
 	Members  []MemberStatus
 	Halted   error
 	Rollout  Rollout
+	View     placement.View // who may own what by placement
 	Subjects map[string]any // how each stands that has something to say, by its section
 }
 
@@ -68,7 +70,7 @@
 	}
 	st.Revision = i.state.Newest().Revision
 	st.Rollout = i.rollout()
-	st.Subjects = i.subjects()
+	st.View, st.Subjects = i.state.View(), i.subjects()
 	for _, m := range i.state.Members() {
 		ms := MemberStatus{Member: m, Voter: slices.Contains(i.conf.GetVoters(), m.ID)}
 		if s.RaftState == raft.StateLeader {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -39,7 +39,7 @@
 	Tick() time.Duration
 	ExplainRoute(*schema.ExplainRouteRequest) (*schema.ExplainRouteReply, error)
 	// Next says when the triggers of a document come next.
-	Next(*agreement.Document, time.Time) ([]string, error)
+	Preview(*agreement.Document, time.Time) ([]string, error)
 	// Holds is which duties this instance holds, as it knows.
 	Holds() []duty.Held
 }
@@ -69,6 +69,8 @@
 	host Host
 	log  logrus.FieldLogger
 	grpc []*grpc.Server
+
+	owners owners
 }
 
 // New makes the service of a host.
@@ -336,7 +338,7 @@
 	var o agreement.Outcome
 	if in.DryRun {
 		if o, err = r.Check(ctx, c); err == nil && o.Code == agreement.Accepted {
-			if out.Next, err = s.host.Next(doc, time.Now()); err != nil {
+			if out.Next, err = s.host.Preview(doc, time.Now()); err != nil {
 				o, err = agreement.Outcome{Code: agreement.Invalid, Revision: o.Revision,
 					Problems: []string{err.Error()}}, nil
 			}
@@ -431,6 +433,7 @@
 		)
 	}
 	describe(out, st)
+	s.describeOwners(out, st)
 	return out, nil
 }
 
--- a/internal/node/triggers.go
+++ b/internal/node/triggers.go
@@ -12,7 +12,6 @@
 
 	"moorstack/brain"
 	"moorstack/internal/agreement"
-	"moorstack/internal/calendar"
 	"moorstack/internal/consensus"
 	"moorstack/internal/core"
 	"moorstack/internal/net"
@@ -279,38 +278,3 @@
 		t.i.gate.note("agreed %s %q %d %d %d %d", e.What, e.Key, e.Number, e.At, e.Seat.Epoch, e.Result)
 	}
 }
-
-// Next implements control.Host: when each trigger of a document comes next, a line each.
-func (i *Instance) Next(d *agreement.Document, from time.Time) ([]string, error) {
-	p := triggersOf(d)
-	plans, err := p.Plans(i.zones)
-	if err != nil || len(plans) == 0 {
-		return nil, err
-	}
-	lines := []string{fmt.Sprintf("zone rules here: zones = \"%016x\"", i.zones.Version(p.ZoneNames()))}
-	for k, plan := range plans[:min(len(plans), 50)] {
-		t := &p.Triggers[k]
-		if t.Paused {
-			lines = append(lines, t.Name+": paused")
-			continue
-		}
-		line := t.Name + " (" + t.Zone + "):"
-		at := from.Unix()
-		for range 5 {
-			o, ok := plan.Next(at)
-			if !ok {
-				break
-			}
-			at = o.At
-			line += " " + o.Name.String()
-			if o.Deed != calendar.Plain {
-				line += fmt.Sprintf(" (at %s: %v)", time.Unix(o.Wall, 0).UTC().Format("01-02T15:04"), o.Deed)
-			}
-		}
-		lines = append(lines, line)
-	}
-	if len(plans) > 50 {
-		lines = append(lines, fmt.Sprintf("and %d more", len(plans)-50))
-	}
-	return lines, nil
-}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,6 +113,28 @@
 // ShardOf is a key's shard.
 func ShardOf(key string) int { return int(xxhash.Sum64String(key) % Shards) }
 
+// Shares is which part of the shards each member owns.
+func (t *Table) Shares() map[uint64]float64 {
+	shares := map[uint64]float64{}
+	for s := range Shards {
+		if m, ok := t.Owner(s); ok {
+			shares[m.Member] += 1.0 / Shards
+		}
+	}
+	return shares
+}
+
+// Moved is which part of the shards has another owner in another table.
+func (t *Table) Moved(to *Table) (part float64) {
+	for s := range Shards {
+		a, _ := t.Owner(s)
+		if b, _ := to.Owner(s); a.Member != b.Member {
+			part += 1.0 / Shards
+		}
+	}
+	return part
+}
+
 // Owner is whose a shard is; false: nobody may own anything.
 func (t *Table) Owner(shard int) (Member, bool) {
 	if t == nil || len(t.View.Members) == 0 {
--- a/internal/ratelimit/policy.go
+++ b/internal/ratelimit/policy.go
@@ -75,6 +75,16 @@
 // floorRate is what each front's floor gets a second.
 func (p *Policy) floorRate(l Limit) float64 { return l.Rate * l.Floor / float64(p.Parts) }
 
+// Describe says a limit in words.
+func (p *Policy) Describe(l Limit) string {
+	text := fmt.Sprintf("%.4g a second and %.4g at once over all instances", l.Rate, l.Burst)
+	if l.Floor <= 0 {
+		return text + "; nothing at one that is cut off, and a first call is told to come back"
+	}
+	return text + fmt.Sprintf("; of that %.3g a second and %.4g at once at each of %d, also when it is "+
+		"cut off", p.floorRate(l), p.floorBurst(l), p.Parts)
+}
+
 // lent is what is left to be lent.
 func (p *Policy) lent(l Limit) (rate, burst float64) {
 	return l.Rate * (1 - l.Floor), l.Burst - float64(p.Parts)*p.floorBurst(l)
--- a/internal/rig/parts.go
+++ b/internal/rig/parts.go
@@ -69,8 +69,8 @@
 			}
 		}
 		if sum > 1+1e-9 {
-			broken = append(broken, fmt.Sprintf("with %s's part %d of %d at %v, %.3f of cold workers' budgets "+
-				"are taken: %v", x.who, x.me, x.of, x.from, sum, now))
+			broken = append(broken, fmt.Sprintf("with %s's part %d of %d at %v, %.3f of cold workers' "+
+				"budgets are taken: %v", x.who, x.me, x.of, x.from, sum, now))
 		}
 		now = append(now, x)
 	}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -20,6 +20,7 @@
 	"moorstack/internal/ratelimit"
 	"moorstack/internal/schedule"
 	"moorstack/internal/schema"
+	"moorstack/internal/weights"
 )
 
 // Play is what a story is played with.
@@ -253,6 +254,10 @@
 			}
 			if p.Renewed() {
 				doc.Sections[placement.Section] = map[string]string{"cold_parts": "group"}
+				// Every twenty changes some of what is owned goes elsewhere, with everybody well.
+				if delete(doc.Sections, weights.Section); n/20%2 == 1 {
+					doc.Sections[weights.Section] = map[string]string{"weight.n1": "2.5", "weight.n2": "0.5"}
+				}
 			}
 			if p.Triggers > 0 && p.Renewed() {
 				doc.Sections[schedule.Section] = triggerWords(p.Options)
