Show that only its holder gives an occurrence back

That guard had never been broken on purpose. 200 stories do not notice it: the word of an earlier session has to come after the next one has taken the occurrence over. A test of its own does now.

--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -167,3 +167,31 @@
 		t.Errorf("after a leap of 20 minutes: %v", got)
 	}
 }
+
+// Only who has an occurrence gives it back: the word of a session that had it before, which comes late, would
+// have another fire what is out.
+func TestOnlyItsHolderGivesBack(t *testing.T) {
+	words := map[string]string{"zone": "UTC", "trigger.a": "0 * * * * class=once"}
+	w := newWorld(t, calendar.NewZones(), words, unix("2026-06-01T00:30Z"))
+	w.look(unix("2026-06-01T01:00Z"))
+	first := w.seat
+	number := w.OpenItems()[0].Number
+	// Its session ends, and the next one takes the occurrence over.
+	w.Vacated(func(s Seat) bool { return s == first })
+	w.seat = Seat{Member: first.Member, Epoch: first.Epoch + 1}
+	w.Seated([]placement.Member{{Seat: w.seat}})
+	w.look(unix("2026-06-01T01:01Z"))
+	if i, ok := w.Open(number); !ok || i.Seat != w.seat || i.Orphan {
+		t.Fatalf("%+v is not taken over", i)
+	}
+	for _, result := range []Result{Unrun, Done, Failed} {
+		_ = w.Apply(Command{Kind: Settle, Seat: first, Numbers: []uint64{number}, Results: []Result{result}})
+		if i, ok := w.Open(number); !ok || i.Orphan {
+			t.Errorf("the word of who had it before, %v, counts: %+v", result, i)
+		}
+	}
+	_ = w.Apply(Command{Kind: Settle, Seat: w.seat, Numbers: []uint64{number}, Results: []Result{Unrun}})
+	if i, _ := w.Open(number); !i.Orphan || !i.Unrun {
+		t.Errorf("its holder does not give it back: %+v", i)
+	}
+}
