Have a front lose its slices with its session, and take no grant of an earlier view

One that was cut off past its lease came back with a new session and what it had been lent, while the next owner, which had asked all that were there, counted on its having nothing. And an owner that lost an account and got it back between two ticks of a front is the same session: a grant on its way from before, or what the front still had of it, was known to nobody. A front now loses what it was lent with its session, says all that it has of whoever owns the account, and takes no grant lent by an earlier view than its own; a grant says so.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -240,6 +240,7 @@
 		for part := range slices.Chunk(grants, mostWords) {
 			m := r.message(seat)
 			for _, g := range part {
+				m.View = g.View
 				m.Grants = append(m.Grants, &schema.RateGrant{Account: g.Account, Class: g.Class,
 					Report: g.Report, Seq: g.Seq, Jobs: uint64(g.Jobs), AskedNs: int64(g.Asked)})
 			}
@@ -324,7 +325,8 @@
 				continue // what was asked for in the time to come
 			}
 			r.front.Granted(now, seat, ratelimit.Grant{Key: ratelimit.Key{Account: g.Account, Class: g.Class},
-				Report: g.Report, Seq: g.Seq, Jobs: int(g.Jobs), Asked: time.Duration(g.AskedNs)})
+				Report: g.Report, Seq: g.Seq, Jobs: int(g.Jobs), Asked: time.Duration(g.AskedNs),
+				View: m.View})
 		}
 	})
 }
--- a/internal/ratelimit/authority.go
+++ b/internal/ratelimit/authority.go
@@ -274,7 +274,7 @@
 			l.out += l.want
 			l.grants = append(l.grants, grant{a.seq, l.want})
 			l.lent = now
-			out[l.seat] = append(out[l.seat], Grant{k, l.report, a.seq, l.want, l.asked})
+			out[l.seat] = append(out[l.seat], Grant{k, l.report, a.seq, l.want, l.asked, a.table.View.Number})
 		}
 	}
 	return out
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -26,6 +26,7 @@
 	Seq    uint64
 	Jobs   int
 	Asked  time.Duration
+	View   uint64 // by which it was lent; 0: by an older program, which does not say
 }
 
 // wallet is what a front has of one bucket.
@@ -79,12 +80,12 @@
 
 // View takes over who is there, and which session is this front's.
 //
-// Hazard: a session that is another one begins anew at the authority, whose grants count from there. What
-// was lent before lasts its time.
+// Hazard: with its session a front loses what it was lent. It was not asked what it has while it had none,
+// and an owner that has come since counts on its having nothing.
 func (f *Front) View(now time.Duration, t *placement.Table, own placement.Seat) {
 	if own != f.own {
 		for _, w := range f.wallets {
-			w.leave()
+			w.jobs, w.old, w.acked, w.from = 0, 0, 0, placement.Seat{}
 		}
 	}
 	f.table, f.own, f.leaving = t, own, saidLeft
@@ -259,9 +260,14 @@
 // Granted takes an authority's answer.
 //
 // Hazard: it may come late, twice, or after a newer one. What it grants lasts from the moment before it was
-// asked for: from the answer on, the authority may have counted it as over long ago.
+// asked for: from the answer on, the authority may have counted it as over long ago. And one that has lost
+// the account and got it back meanwhile does not know any more what it lent by an earlier view, while this
+// front may have said already what it has.
 func (f *Front) Granted(now time.Duration, from placement.Seat, g Grant) {
 	w := f.wallets[g.Key]
+	if g.View != 0 && f.table != nil && g.View < f.table.View.Number {
+		return
+	}
 	if w == nil || w.from != from || g.Seq <= w.acked || g.Report > f.reports {
 		return
 	}
--- a/internal/ratelimit/recall.go
+++ b/internal/ratelimit/recall.go
@@ -32,8 +32,10 @@
 	books := map[placement.Seat][]Ceded{}
 	for k, w := range f.wallets {
 		w.expire(now)
-		if owner, ok := f.table.Owner(placement.ShardOf(k.Account)); ok && w.old > 0 {
-			books[owner.Seat] = append(books[owner.Seat], Ceded{Key: k, Out: w.old})
+		// Hazard: an owner that lost the account and got it back between two ticks here is the same session,
+		// and knows nothing of what it has lent before.
+		if owner, ok := f.table.Owner(placement.ShardOf(k.Account)); ok && w.old+w.jobs > 0 {
+			books[owner.Seat] = append(books[owner.Seat], Ceded{Key: k, Out: w.old + w.jobs})
 		}
 	}
 	out := map[placement.Seat][]Left{}
--- a/internal/ratelimit/recall_test.go
+++ b/internal/ratelimit/recall_test.go
@@ -74,6 +74,21 @@
 	if at := owner.free("m2232"); at > now {
 		t.Fatalf("it waits for %v more though all have said so", at-now)
 	}
+	// One that was cut off comes back with a new session and what it had: it was not asked for that.
+	gone := NewFront(0)
+	gone.Configure(0, p)
+	gone.View(0, first, members[2].Seat)
+	gone.Take(now, "m2232", "")
+	gone.Tick(now)
+	gone.Granted(now, members[0].Seat, Grant{Key: Key{Account: "m2232"}, Report: 1, Seq: 1, Jobs: 5,
+		Asked: now})
+	if gone.Left(now)[Key{Account: "m2232"}] != 5 {
+		t.Fatal("nothing is granted")
+	}
+	gone.View(now, next, placement.Seat{Member: 3, Epoch: 9})
+	if _, ok := gone.Take(now, "m2232", ""); ok {
+		t.Error("a front goes on with what it was lent in an earlier session")
+	}
 	// All that is allowed at once is out, until it has surely run out.
 	for at := now; at < now+2*time.Second; at += 100 * time.Millisecond {
 		owner.Hear(at, members[1].Seat, Ask{Key: Key{Account: "m2232"}, Report: uint64(at), Want: 9,
@@ -86,6 +101,38 @@
 	}
 }
 
+// An owner that loses an account and gets it back between two ticks of a front is the same session, and knows
+// nothing of what it has lent before: the front says what it has, and takes nothing more of that.
+func TestRecallByTheSameOwner(t *testing.T) {
+	p, _ := ReadPolicy(map[string]string{"account": "X", "account.m2232": "100/s burst=20"}, nil)
+	var members []placement.Member
+	for id := range uint64(3) {
+		members = append(members, placement.Member{Seat: placement.Seat{Member: id + 1, Epoch: id + 1}})
+	}
+	view := func(number uint64, members []placement.Member) *placement.Table {
+		return placement.Of(placement.View{Number: number, Members: members})
+	}
+	front, now, key := NewFront(0), time.Minute, Key{Account: "m2232"}
+	front.Configure(0, p)
+	front.View(0, view(1, members), members[2].Seat)
+	front.Take(now, key.Account, "")
+	front.Tick(now)
+	front.Granted(now, members[0].Seat, Grant{Key: key, Report: 1, Seq: 1, Jobs: 5, Asked: now, View: 1})
+	for n, list := range [][]placement.Member{members[1:], members} {
+		front.View(now, view(uint64(n+2), list), members[2].Seat)
+	}
+	_, lefts := front.Tick(now)
+	has := front.Left(now)[key] // some is given back
+	l := lefts[members[0].Seat]
+	if has == 0 || len(l) != 1 || len(l[0].Books) != 1 || l[0].Books[0].Out != has {
+		t.Errorf("it says that it has %+v of %d", l, has)
+	}
+	front.Granted(now, members[0].Seat, Grant{Key: key, Report: 2, Seq: 2, Jobs: 7, Asked: now, View: 1})
+	if n := front.Left(now)[key]; n != has {
+		t.Errorf("it takes what was lent by an earlier view: it has %d after %d", n, has)
+	}
+}
+
 // A word on many accounts comes in parts, and counts when it is whole, in whatever order they come.
 func TestRecallInParts(t *testing.T) {
 	r, seat := newRecall(), placement.Seat{Member: 1, Epoch: 1}
