--- a/internal/rig/rates.go
+++ b/internal/rig/rates.go
@@ -13,8 +13,8 @@
 // larger rates, with and without floors. Every second set has lower ones, so that rates are lowered while
 // slices are out, and raised again.
 func rateWords(accounts, instances, set int) map[string]string {
-	// Triggers without an account go by the default, and all of them may be at one instance: a floor of all of
-	// it would leave that one too little.
+	// Triggers without an account go by the default, and all of them may be at one instance: a floor of all
+	// of it would leave that one too little.
 	words := map[string]string{"account": "X-Account", "tick": "50ms", "term": "500ms",
 		"parts": strconv.Itoa(instances), "default": fmt.Sprintf("25/s burst=%d floor=0.3", 4*instances)}
 	for n := range accounts {
