--- a/internal/agreement/weights_test.go
+++ b/internal/agreement/weights_test.go
@@ -8,8 +8,8 @@
 	"moorstack/internal/rollout"
 )
 
-// A change of weights makes a new view with a higher number, also after a snapshot; a group that does not know
-// weights yet goes by none, whatever its document says.
+// A change of weights makes a new view with a higher number, also after a snapshot; a group that does not
+// know weights yet goes by none, whatever its document says.
 func TestWeightsMakeNewViews(t *testing.T) {
 	weighed := func(n1 string) *Document {
 		d := sample(5)
--- a/internal/versus/placement_test.go
+++ b/internal/versus/placement_test.go
@@ -64,8 +64,8 @@
 // draws is over how many draws of the instances' numbers the ways are weighed.
 const draws = 5
 
-// weigh gives the most that any owns over the mean, of all draws, and how many shards move when one more joins,
-// over 1/(n+1), of the draws' mean.
+// weigh gives the most that any owns over the mean, of all draws, and how many shards move when one more
+// joins, over 1/(n+1), of the draws' mean.
 func weigh(way owning, n int) (most, moved float64) {
 	for draw := range draws {
 		counts := make([]int, n)
@@ -90,8 +90,8 @@
 		ours, moved := weigh(rendezvous, n)
 		onRing, ringMoved := weigh(ring, n)
 		_, moduloMoved := weigh(modulo, n)
-		t.Logf("%4d instances: most over mean %.2f, moved %.2f; a ring %.2f, %.2f; modulo moves %.1f", n, ours,
-			moved, onRing, ringMoved, moduloMoved)
+		t.Logf("%4d instances: most over mean %.2f, moved %.2f; a ring %.2f, %.2f; modulo moves %.1f", n,
+			ours, moved, onRing, ringMoved, moduloMoved)
 		if ours > 1.2 || ours > onRing {
 			t.Errorf("%d instances: one has %.2f of its part, on a ring %.2f", n, ours, onRing)
 		}
