Say of a set-aside session that comes back nothing of having ended

Read again: which sessions a view calls surely ended had no test of its own. One that was set aside and opened anew by the same process was named among them, as was nobody's session at a first opening. No view took it over, since the session had left the set before; the word was wrong all the same. Only an open session of another life is named now.

--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -320,7 +320,10 @@
 		over = func(h placement.Seat) bool { return slices.Contains(c.Seats, rollout.Seat(h)) }
 	case rollout.Open:
 		why = "it was started anew"
-		s.ended = append(s.ended, placement.Seat{Member: was.Member, Epoch: was.Epoch})
+		// Hazard: one that was set aside and comes back is the same process.
+		if was.Open && was.Nonce != c.Nonce {
+			s.ended = append(s.ended, placement.Seat{Member: was.Member, Epoch: was.Epoch})
+		}
 		over = func(h placement.Seat) bool {
 			return h.Member == c.Member && h.Epoch != s.rollout.Sessions[c.Member].Epoch
 		}
