Keep a rate when words that a cut held back give back what has run out

The journals of two instances with what each authority knew show the cause: words of an instance that had been mute for 2.6 s came all at once, when what they were about had run out at the owner. The first of them set it as out anew, the last gave it back, and the bucket had it twice.

Ruled out: the change of owner (the owner was the same throughout), the audit's clock, stale views.

What a front has that is not known to be out comes out of the bucket now. Three more, found on the way: - a wallet given up as empty and made anew took a doubled answer to the one before.

--- a/internal/ratelimit/authority.go
+++ b/internal/ratelimit/authority.go
@@ -30,6 +30,7 @@
 
 // book is a bucket at its authority.
 type book struct {
+	shard int
 	limit Limit
 	level float64
 	at    time.Duration
@@ -171,8 +172,10 @@
 		return nil
 	}
 	rate, burst := a.policy.lent(l)
-	since := max(now-a.free(k.Account), 0)
-	b := &book{limit: l, at: now, lines: map[placement.Seat]*line{}, level: min(burst, rate*since.Seconds())}
+	shard := placement.ShardOf(k.Account)
+	since := max(now-a.freeAt(shard), 0)
+	b := &book{shard: shard, limit: l, at: now, lines: map[placement.Seat]*line{},
+		level: min(burst, rate*since.Seconds())}
 	a.books[k] = b
 	return b
 }
@@ -195,7 +198,9 @@
 		}
 		out += l.out
 	}
-	b.level = min(b.level+rate*max(now-b.at, 0).Seconds(), burst-float64(out))
+	// Hazard: until the shard is ours to lend from, what comes in may be lent by the owner before.
+	since := max(b.at, a.freeAt(b.shard))
+	b.level = min(b.level+rate*max(now-since, 0).Seconds(), burst-float64(out))
 	b.at = now
 }
 
@@ -208,6 +213,9 @@
 	if b == nil {
 		return
 	}
+	// Hazard: up to now what was out could all be used at once, and so the bucket held no more than the rest.
+	// It also drops lines that are silent: one that is found before would be lost with this word.
+	a.refill(now, b)
 	l := b.lines[from]
 	if l == nil {
 		l = &line{seat: from, lent: now}
@@ -216,8 +224,6 @@
 	if ask.Report <= l.report {
 		return // an older word, or the same again
 	}
-	// Hazard: up to now what was out could all be used at once, and so the bucket held no more than the rest.
-	a.refill(now, b)
 	l.report = ask.Report
 	l.grants = slices.DeleteFunc(l.grants, func(g grant) bool { return g.seq <= ask.Acked })
 	// Hazard: what is on its way to the front can be used by it, though it knows nothing of it yet.
@@ -226,8 +232,15 @@
 		out += g.jobs
 	}
 	// What the front gave back is in the bucket again; the rest of what is out no more was used.
-	if less := l.out - out; less >= ask.Back {
+	//
+	// Hazard: an old word may come when what it is about has run out here, and with it a later one that
+	// gives it back. What is not known to be out must come out of the bucket, or what ran out would come back.
+	less := l.out - out
+	if less >= ask.Back {
 		b.level += float64(ask.Back)
+	} else if less < 0 {
+		_, burst := a.policy.lent(b.limit)
+		b.level = max(b.level+float64(less), min(b.level, -burst))
 	}
 	l.out = out
 	a.refill(now, b)
--- a/internal/ratelimit/cede.go
+++ b/internal/ratelimit/cede.go
@@ -97,6 +97,13 @@
 		}
 		h.since, h.ceded = now-x.Lent, true
 	}
+	// Those that fronts have asked for already are, unless they are named, as if they were made now.
+	for _, b := range a.books {
+		if x, ok := c.Shards[b.shard]; ok {
+			rate, burst := a.policy.lent(b.limit)
+			b.level, b.at = min(burst, rate*x.Lent.Seconds()), now
+		}
+	}
 	for _, k := range c.Books {
 		if _, ok := c.Shards[placement.ShardOf(k.Account)]; !ok {
 			continue
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -36,7 +36,8 @@
 	jobs   int
 	ends   time.Duration
 	acked  uint64
-	old    int // of an authority before that one
+	since  uint64 // answers to this word, and to any before, are about what was here before
+	old    int    // of an authority before that one
 	oldEnd time.Duration
 
 	floor   float64
@@ -85,7 +86,8 @@
 func (f *Front) View(now time.Duration, t *placement.Table, own placement.Seat) {
 	if own != f.own {
 		for _, w := range f.wallets {
-			w.jobs, w.old, w.acked, w.from = 0, 0, 0, placement.Seat{}
+			w.jobs, w.old = 0, 0
+			w.leave(f.reports)
 		}
 	}
 	f.table, f.own, f.leaving = t, own, saidLeft
@@ -104,12 +106,12 @@
 	f.has = has
 }
 
-// leave keeps what is left as an earlier authority's.
-func (w *wallet) leave() {
+// leave keeps what is left as an earlier authority's, which answered the words up to one.
+func (w *wallet) leave(word uint64) {
 	if w.jobs > 0 {
 		w.old, w.oldEnd = w.jobs, w.ends // what was there before is given up: it ends sooner
 	}
-	w.jobs, w.acked, w.from = 0, 0, placement.Seat{}
+	w.jobs, w.acked, w.from, w.since = 0, 0, placement.Seat{}, word
 }
 
 // Limited says whether anything is.
@@ -127,7 +129,7 @@
 	if !ok {
 		return nil
 	}
-	w := &wallet{limit: l}
+	w := &wallet{limit: l, since: f.reports}
 	// One that was not there has had nothing spent since the floors began.
 	w.floor = min(f.policy.floorBurst(l), f.policy.floorRate(l)*(now-f.floors).Seconds())
 	w.floorAt = now
@@ -233,7 +235,7 @@
 			continue
 		}
 		if w.from != owner.Seat {
-			w.leave()
+			w.leave(f.reports - 1)
 			w.from = owner.Seat
 		}
 		need := 0
@@ -260,15 +262,16 @@
 // Granted takes an authority's answer.
 //
 // Hazard: it may come late, twice, or after a newer one. What it grants lasts from the moment before it was
-// asked for: from the answer on, the authority may have counted it as over long ago. And one that has lost
-// the account and got it back meanwhile does not know any more what it lent by an earlier view, while this
-// front may have said already what it has.
+// asked for: from the answer on, the authority may have counted it as over long ago. A wallet that was
+// given up as empty and made anew takes no answer to the one before, which has had and used it, perhaps. And
+// one that has lost the account and got it back meanwhile does not know any more what it lent by an earlier
+// view, while this front may have said already what it has.
 func (f *Front) Granted(now time.Duration, from placement.Seat, g Grant) {
 	w := f.wallets[g.Key]
 	if g.View != 0 && f.table != nil && g.View < f.table.View.Number {
 		return
 	}
-	if w == nil || w.from != from || g.Seq <= w.acked || g.Report > f.reports {
+	if w == nil || w.from != from || g.Seq <= w.acked || g.Report <= w.since || g.Report > f.reports {
 		return
 	}
 	w.acked = g.Seq
--- a/internal/ratelimit/recall_test.go
+++ b/internal/ratelimit/recall_test.go
@@ -152,3 +152,52 @@
 		t.Errorf("%d, %d accounts", r.least(), len(r.whole[seat].kept))
 	}
 }
+
+// Words that were held back by a cut come all at once, when what they are about has run out long ago: what
+// the front gives back in them is not there any more.
+func TestWordsOfLongAgo(t *testing.T) {
+	p, _ := ReadPolicy(map[string]string{"account": "X", "account.m2232": "1/h burst=6", "tick": "50ms",
+		"term": "500ms"}, nil)
+	seat, key := placement.Seat{Member: 1, Epoch: 1}, Key{Account: "m2232"}
+	a, now := NewAuthority(), 48*time.Hour
+	a.Configure(0, p)
+	alone := placement.View{Number: 1, Members: []placement.Member{{Seat: seat}}}
+	a.View(0, placement.Of(alone), seat, time.Second, false)
+	lent, report := 0, uint64(0)
+	hears := func(kept, back, want int, acked uint64) {
+		report++
+		a.Hear(now, seat, Ask{Key: key, Report: report, Acked: acked, Kept: kept, Back: back, Want: want,
+			Asked: now})
+		for _, g := range a.Tick(now)[seat] {
+			lent += g.Jobs
+		}
+	}
+	hears(0, 0, 6, 0)
+	// Its next words do not come, and it has used them all up to the last two, which it gave back.
+	now += 5 * time.Second
+	hears(2, 0, 0, a.seq)
+	hears(0, 2, 0, a.seq)
+	hears(0, 0, 6, a.seq)
+	if lent != 6 {
+		t.Errorf("%d are lent of 6 at once", lent)
+	}
+}
+
+// What comes in while an earlier owner may still lend is its to lend: the next one has none of it.
+func TestBucketsFillFromWhenTheyMayBeLent(t *testing.T) {
+	p, _ := ReadPolicy(map[string]string{"account": "X", "account.m2232": "10/s burst=100"}, nil)
+	seat := placement.Seat{Member: 1, Epoch: 1}
+	a, now := NewAuthority(), time.Duration(0)
+	a.Configure(0, p)
+	alone := placement.View{Number: 1, Members: []placement.Member{{Seat: seat}}}
+	a.View(0, placement.Of(alone), seat, time.Second, false)
+	for report := uint64(1); now < a.free("m2232")+time.Second; report++ {
+		a.Hear(now, seat, Ask{Key: Key{Account: "m2232"}, Report: report, Want: 100, Asked: now})
+		for _, g := range a.Tick(now)[seat] {
+			if g.Jobs > 10 {
+				t.Fatalf("%d are lent %v after it may", g.Jobs, now-a.free("m2232"))
+			}
+		}
+		now += 100 * time.Millisecond
+	}
+}
--- a/internal/ratelimit/story_test.go
+++ b/internal/ratelimit/story_test.go
@@ -31,12 +31,64 @@
 	log    []placement.View
 	policy Policy
 	spent  map[Key][]time.Duration
+	true   map[Key]*truth
+	fast   float64 // the fastest clock's pace
+	wrong  string
 	lossy  bool
 	quiet  bool
 	calm   bool
 	acts   int
 }
 
+// truth is the bucket that every admission takes a job from.
+type truth struct {
+	level float64
+	at    time.Duration
+}
+
+func (w *world) truth(k Key) *truth {
+	l, _ := w.policy.Of(k)
+	x := w.true[k]
+	if x == nil {
+		x = &truth{level: l.Burst}
+		w.true[k] = x
+	}
+	x.level = min(l.Burst, x.level+l.Rate*w.fast*(w.now-x.at).Seconds())
+	x.at = w.now
+	return x
+}
+
+// covered finds a bucket of which an owner and the fronts have more than there is. It finds what no client
+// happens to use.
+func (n *node) covered(lent map[placement.Seat][]Grant) {
+	w, all := n.w, map[Key]float64{}
+	for _, grants := range lent {
+		for _, g := range grants {
+			all[g.Key] += float64(g.Jobs)
+		}
+	}
+	for k, b := range n.authority.books {
+		sum := all[k]
+		if n.clock() >= n.authority.freeAt(b.shard) {
+			sum += max(b.level, 0)
+		}
+		for _, x := range w.nodes {
+			if f := x.front.wallets[k]; f != nil && x.up && x.clock() < x.until {
+				if x.clock() < f.ends {
+					sum += float64(f.jobs)
+				}
+				if x.clock() < f.oldEnd {
+					sum += float64(f.old)
+				}
+			}
+		}
+		if has := w.truth(k).level; sum > has+1e-6 && w.wrong == "" {
+			w.wrong = fmt.Sprintf("%v: at %v instance %d and the fronts have %.3f of %.3f", k, w.now, n.id,
+				sum, has)
+		}
+	}
+}
+
 type thing struct {
 	at time.Duration
 	do func()
@@ -57,6 +109,8 @@
 	until     time.Duration
 	granted   time.Duration // on the world's clock
 	cut       bool
+	mute      bool          // what it says is held back, and comes all at once
+	held      []func()      // in the order in which it was said
 	slow      time.Duration // until when it gets no part of the log, though it is in touch
 }
 
@@ -139,6 +193,7 @@
 	}
 	if now < n.until {
 		answers := n.authority.Tick(now)
+		n.covered(answers)
 		for _, seat := range inOrder(answers) {
 			grants := answers[seat]
 			n.send(seat, func(to *node, from placement.Seat) {
@@ -178,6 +233,10 @@
 			if (n.cut || to.cut) && to != n {
 				continue
 			}
+			if n.mute && to != n {
+				n.held = append(n.held, func() { to.on(0, func() { f(to, from) }) })
+				continue
+			}
 			to.on(d, func() { f(to, from) })
 		}
 	}
@@ -208,7 +267,7 @@
 		n.front.View(n.clock(), t, own)
 		n.authority.View(n.clock(), t, own, w.lease, false)
 	}
-	if n.applied == len(w.log) && w.seated(n) {
+	if n.applied == len(w.log) && w.seated(n) && !n.mute {
 		n.granted = w.now
 		n.until = n.clock() + w.lease // asked for now, of a leader that had applied as much
 	}
@@ -256,6 +315,7 @@
 		for _, k := range []Key{{Account: account}, {account, class}} {
 			if _, limited := w.policy.Of(k); limited {
 				w.spent[k] = append(w.spent[k], w.now)
+				w.truth(k).level--
 			}
 		}
 	}
@@ -294,7 +354,7 @@
 		t.Fatal(wrong)
 	}
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), lease: 500 * time.Millisecond, policy: p,
-		spent: map[Key][]time.Duration{}}
+		spent: map[Key][]time.Duration{}, true: map[Key]*truth{}, fast: 1}
 	for i := range nodes {
 		n := &node{w: w, id: uint64(i + 1), pace: 1}
 		w.nodes = append(w.nodes, n)
@@ -344,12 +404,12 @@
 		seat := n.seat
 		w.at(rollout.Wait(w.lease), func() {
 			if slices.ContainsFunc(w.view.Members, func(m placement.Member) bool { return m.Seat == seat }) &&
-				(n.cut || !n.up || n.stalled > w.now) && w.now-n.granted >= rollout.Wait(w.lease) {
+				(n.cut || n.mute || !n.up || n.stalled > w.now) && w.now-n.granted >= rollout.Wait(w.lease) {
 				w.leave(n, seat)
 			}
 		})
 	}
-	kind := w.rng.IntN(7)
+	kind := w.rng.IntN(8)
 	if w.calm {
 		kind, long = []int{3, 3, 6}[w.rng.IntN(3)], long/3 // and nothing else goes wrong
 	}
@@ -387,6 +447,19 @@
 			w.leave(n)
 			w.at(long, func() { w.back(n) })
 		}
+	case 7: // it hears, and is not heard until all of its words come in one turn
+		if n.up && !n.cut && !n.mute {
+			n.mute = true
+			lapse()
+			w.at(long, func() {
+				n.mute = false
+				for _, say := range n.held {
+					say()
+				}
+				n.held = nil
+				w.back(n)
+			})
+		}
 	case 6: // its weight is changed
 		members := slices.Clone(w.view.Members)
 		for i := range members {
@@ -431,8 +504,9 @@
 			at += 2 * time.Second
 		}
 	}
+	w.fast = most
 	w.run(22 * time.Second)
-	return w.audit(most), w.acts
+	return cmp.Or(w.wrong, w.audit(most)), w.acts
 }
 
 // Whatever is lost, late or doubled, whoever stalls, dies or comes back: in no window is more admitted at
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -134,8 +134,11 @@
 		// Hazard: the last word of one that has died since would open its session for ever.
 		if x.fresh && x.report.Epoch == 0 && !opened {
 			x.fresh = false
-			out = append(out, Command{Kind: Open, Term: l.term, Member: id, Name: names[id],
-				Nonce: x.report.Nonce})
+			// Hazard: words that a cut has held back come all at once, and each would open one more.
+			if l.once(now, p, Open, fmt.Sprint(id, x.report.Nonce, session.Epoch)) {
+				out = append(out, Command{Kind: Open, Term: l.term, Member: id, Name: names[id],
+					Nonce: x.report.Nonce})
+			}
 		}
 	}
 	var lapsed []Seat
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -117,6 +117,32 @@
 	}
 }
 
+// Words that were held back by a cut come all at once, before the first is acted on in the log: they open one
+// session, and where the log has lost that they do so again.
+func TestWordsAtOnceOpenOneSession(t *testing.T) {
+	s, l, _, _ := pair(t)
+	again := NewHolder(2, 23)
+	opens := func(now time.Duration) (n int) {
+		for range 15 {
+			again.Again()
+			r, _ := again.Report(now, pol)
+			l.Heard(now, r)
+			for _, c := range l.Look(now, s, pol, both) {
+				if c.Kind == Open {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if n := opens(0); n != 1 {
+		t.Errorf("15 words at once open %d sessions", n)
+	}
+	if n := opens(pol.Lease); n != 1 {
+		t.Errorf("a lease later, with none agreed on, %d are opened", n)
+	}
+}
+
 func TestStalledLeaderDoesNotHoldAllForGone(t *testing.T) {
 	s, l, a, b := pair(t)
 	renew(s, l, a, 0, 0)
