Give the rig's instances ports that nobody else is given meanwhile

Both are drawn now below the range that the system gives out from, and held together until both are known.

--- a/internal/ratelimit/authority.go
+++ b/internal/ratelimit/authority.go
@@ -234,7 +234,7 @@
 	// What the front gave back is in the bucket again; the rest of what is out no more was used.
 	//
 	// Hazard: an old word may come when what it is about has run out here, and with it a later one that
-	// gives it back. What is not known to be out must come out of the bucket, or what ran out would come back.
+	// gives it back. What is not known to be out must come out of the bucket, or it would come back to it.
 	less := l.out - out
 	if less >= ask.Back {
 		b.level += float64(ask.Back)
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"slices"
 	"strings"
 	"sync"
@@ -144,26 +145,36 @@
 	return nil
 }
 
-func freePort(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+// freePorts gives two that are free on an address. Hazard: one of those that the system gives out may be
+// given out again, to the other of the two or to a connection from here, before it is listened at.
+func freePorts(host string) (one, other string, err error) {
+	for range 100 {
+		port := 10_000 + 2*rand.IntN(10_000)
+		var list []string
+		for n := range 2 {
+			l, bad := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port+n)))
+			if err = bad; bad != nil {
+				break
+			}
+			defer l.Close()
+			list = append(list, l.Addr().String())
+		}
+		if len(list) == 2 {
+			return list[0], list[1], nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", "", fmt.Errorf("no two free ports on %s: %w", host, err)
 }
 
 func (f *Fleet) add(name string, host netip.Addr) error {
 	p := &Process{Name: name, file: filepath.Join(f.o.Dir, name+".toml"), sock: filepath.Join(f.o.Dir,
 		name+".sock")}
 	f.List = append(f.List, p)
-	listen, err := freePort(host.String())
+	listen, front, err := freePorts(host.String())
 	if err != nil {
 		return err
 	}
-	if p.Front, err = freePort(host.String()); err != nil {
-		return err
-	}
+	p.Front = front
 	if p.Peers, err = f.Links.Front(name, host, listen); err != nil {
 		return err
 	}
