Take the instances of a group out one after another, by a duty whose note is the plan

A group of instances had to be restarted by hand, each drained and awaited. Now one of them conducts, in the duty "roll", and the plan is the duty's note: another conductor goes on from it. An instance goes by the agreed note itself, for one life of its process, so that no word can come late or from a conductor that is none any more, and a step is never taken back.

No more than the stated number are out, who is down for another reason among them; never one without which the voters have no majority, nor the last of a zone that is well. One that is not back in time halts it, with the reason. Operators start, stop, resume, undo and look (cluster roll). An instance hands on, ends what it has taken and ends; with out = "start" it starts the program that is there in its own place.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -29,7 +29,7 @@
 	for _, c := range []*cobra.Command{
 		newClusterStatus(g, &r), newClusterInit(g, &r), newClusterBackup(g, &r),
 		newClusterRestore(g, &r), newClusterSnapshot(g, &r),
-		newClusterSetAside(g, &r)} {
+		newClusterSetAside(g, &r), newClusterRoll(g, &r)} {
 		cmd.AddCommand(c)
 	}
 	var force bool
--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -20,6 +20,7 @@
 	story, keep       string
 	rate              float64
 	changes, drills   int
+	rolls             int
 	accounts, names   int
 	triggers          int
 	clock, oldRules   string
@@ -76,6 +77,8 @@
 	fl.IntVar(&f.names, "names", 0,
 		"how many more accounts call that have no line of their own; 0 to 1000000")
 	fl.IntVar(&f.accounts, "accounts", 4, "how many accounts' rates are kept over all instances; 0 to 1000")
+	fl.IntVar(&f.rolls, "rolls", 0,
+		"take instances out one after another, again and again, at the most so many at once; 0: none")
 	fl.IntVar(&f.drills, "duties", 3, "how many duties the instances hold, to practise; 0 to 100")
 	fl.IntVar(&f.triggers, "triggers", 6, "how many triggers fire over all instances; 0 to 1000")
 	fl.StringVar(&f.clock, "clock", "", "what the instances' clocks show at the beginning, as in "+
@@ -116,6 +119,9 @@
 		return fmt.Errorf("--speed: %v is not from 1 to 600", f.speed)
 	case f.oldRules != "" && !slices.Contains(rig.Names(f.processes), f.oldRules):
 		return fmt.Errorf("--old-rules: there is no instance %q", f.oldRules)
+	case f.rolls < 0 || f.rolls >= f.processes:
+		return fmt.Errorf("--rolls: %d is not from 0 to %d, one less than --processes", f.rolls,
+			f.processes-1)
 	case f.drills < 0 || f.drills > 100:
 		return fmt.Errorf("--duties: %d is not from 0 to 100", f.drills)
 	case f.rate < 0 || f.rate > 1000:
@@ -204,7 +210,8 @@
 	o := rig.Play{Story: story, For: f.length, Changes: f.changes, Options: rig.Options{Program: self,
 		Dir:       at,
 		Instances: f.processes, Voters: f.voters, Tick: f.tick, Platform: rig.SamplePlatform(), Rate: f.rate,
-		Seed: f.seed, Drills: f.drills, Accounts: f.accounts, Names: f.names,
+		Seed: f.seed, Drills: f.drills, Rolls: f.rolls, Wishes: f.story == "", Accounts: f.accounts,
+		Names:    f.names,
 		Triggers: f.triggers, Speed: f.speed,
 		OldRules: f.oldRules, Older: f.older}}
 	if f.clock != "" {
@@ -254,6 +261,10 @@
 			"%d parts of cold workers' budgets audited", r.Accounts, r.RateGap.Round(10*time.Millisecond),
 			r.Parts))
 	}
+	if r.Out > 0 {
+		t.add(fmt.Sprintf("%d rolling restarts came to their end, %d instances were taken out", r.Rolls,
+			r.Out))
+	}
 	if f := r.Fired; f.Intended > 0 {
 		t.add(fmt.Sprintf("%d occurrences intended, %d fired, %d taken over, %d may have run, %d refused, "+
 			"%d failed",
--- a/cmd/moorstack/serve.go
+++ b/cmd/moorstack/serve.go
@@ -1,11 +1,27 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"syscall"
+
 	"github.com/spf13/cobra"
 
 	"moorstack/internal/node"
 )
 
+// anew starts the program that is there now in the place of this process, as it was started.
+func anew() error {
+	// Hazard: the file of a program that was replaced while it ran is not what /proc says of the process.
+	path, err := exec.LookPath(os.Args[0])
+	if err == nil {
+		err = syscall.Exec(path, os.Args, os.Environ())
+	}
+	return exitError{exitFailed, fmt.Errorf("starting anew: %w", err)}
+}
+
 func newServe(g *global) *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
@@ -38,7 +54,10 @@
 			if err != nil {
 				return exitError{exitFailed, err}
 			}
-			if err := i.Run(signals); err != nil {
+			switch err := i.Run(signals); {
+			case errors.Is(err, node.ErrAnew):
+				return anew()
+			case err != nil:
 				return exitError{exitFailed, err}
 			}
 			return nil
--- /dev/null
+++ b/internal/conduct/explore_test.go
@@ -0,0 +1,278 @@
+package conduct
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash/maphash"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"moorstack/internal/explore"
+)
+
+// The model: three instances with votes, and two conductors, of which the second holds the duty as well, as
+// it seems to it. At any time a conductor looks, and what it would note is agreed on later, or never; an
+// instance reads the plan, however late, and goes or stays; one that is down is started, or its session
+// lapses; one dies by itself; an operator stops, resumes or undoes.
+type model struct {
+	left  limits
+	plan  Plan
+	turn  int
+	nodes [3]instance
+	minds [2]mind
+	lives uint64
+	wrong string
+}
+
+type limits struct{ looks, deaths, wishes int }
+
+type instance struct {
+	Life, Session uint64
+	Up            bool
+	Read          int  // the turn of the plan that it knows
+	Rolled        bool // it went by the plan, and is not back
+	Goes          int  // how often
+}
+
+// mind is a conductor: what it would have noted, over the plan of a turn.
+type mind struct {
+	waits bool
+	turn  int
+	plan  Plan
+}
+
+var seed = maphash.MakeSeed()
+
+func (m *model) Wrong() string { return m.wrong }
+
+func (m *model) Key() uint64 {
+	b, _ := json.Marshal(m.plan)
+	text := fmt.Sprint(m.left, string(b), m.turn, m.nodes, m.lives)
+	for _, x := range m.minds {
+		if x.waits {
+			b, _ := json.Marshal(x.plan)
+			text += fmt.Sprint(x.turn, string(b))
+		}
+		text += ";"
+	}
+	return maphash.String(seed, text)
+}
+
+func (m *model) seen() (list []Seen) {
+	for k, n := range m.nodes {
+		list = append(list, Seen{Member: uint64(k + 1), Name: fmt.Sprint("n", k+1), Voter: true,
+			Life: n.Session, Well: n.Up && n.Session == n.Life, Why: "down", Last: k == 0})
+	}
+	return list
+}
+
+func (m *model) Next() (steps []explore.Step[*model]) {
+	event := func(what string, left int, do func(c *model)) {
+		if left > 0 {
+			c := *m
+			do(&c)
+			c.look()
+			steps = append(steps, explore.Step[*model]{What: what, After: &c})
+		}
+	}
+	for k := range m.minds {
+		x := m.minds[k]
+		if !x.waits {
+			// It has waited for as long as an instance has, or not at all.
+			for _, patient := range []bool{true, false} {
+				c := NewConductor()
+				if c.rolling = true; !patient {
+					c.Look(0, m.plan, m.seen())
+				}
+				if p, changed := c.Look(time.Hour, m.plan, m.seen()); changed {
+					what := fmt.Sprint("conductor ", k, " looks: ", p.Progress())
+					event(what, m.left.looks, func(c *model) {
+						c.left.looks--
+						c.minds[k] = mind{true, m.turn, p}
+					})
+				}
+			}
+			continue
+		}
+		event(fmt.Sprint("the note of ", k, " is in the log"), 1, func(c *model) {
+			if c.minds[k].waits = false; x.turn == c.turn {
+				c.plan, c.turn = x.plan, c.turn+1
+			}
+		})
+		event(fmt.Sprint("the note of ", k, " is lost"), 1, func(c *model) { c.minds[k].waits = false })
+	}
+	for k, n := range m.nodes {
+		name := fmt.Sprint("n", k+1)
+		if n.Up && n.Read < m.turn {
+			event(name+" reads the plan", 1, func(c *model) {
+				x := &c.nodes[k]
+				if x.Read = c.turn; c.plan.Go(uint64(k+1), x.Life) {
+					x.Up, x.Rolled, x.Goes = false, true, x.Goes+1
+				}
+			})
+		}
+		if n.Up {
+			event(name+" dies", m.left.deaths, func(c *model) { c.left.deaths--; c.nodes[k].Up = false })
+		}
+		if !n.Up {
+			event(name+" is started", 1, func(c *model) {
+				c.lives++
+				c.nodes[k] = instance{Life: c.lives, Session: c.lives, Up: true, Goes: n.Goes}
+			})
+			event(name+"'s session lapses", int(min(n.Session, 1)), func(c *model) { c.nodes[k].Session = 0 })
+		}
+	}
+	wishes := map[string]func(Plan) (Plan, error){"stop": Stop, "resume": Resume, "undo": Undo}
+	for what, wish := range wishes {
+		if p, err := wish(m.plan); err == nil {
+			event(what, m.left.wishes, func(c *model) { c.left.wishes--; c.plan, c.turn = p, c.turn+1 })
+		}
+	}
+	return steps
+}
+
+// look says what is wrong.
+func (m *model) look() {
+	down := 0
+	for k, n := range m.nodes {
+		most := 1
+		if m.plan.Undo {
+			most = 2
+		}
+		if n.Rolled {
+			down++
+		}
+		if n.Goes > most {
+			m.wrong = fmt.Sprintf("n%d went %d times", k+1, n.Goes)
+		}
+	}
+	if down > m.plan.Out || m.plan.count(Out) > m.plan.Out {
+		m.wrong = fmt.Sprintf("%d are out, and %d to go", down, m.plan.count(Out))
+	}
+	if m.plan.Standing == Done && !m.plan.Undo && m.plan.count(Back) < 3 {
+		m.wrong = "done, and not all are back: " + m.plan.Progress()
+	}
+}
+
+var states = flag.Int64("states", 100_000, "how many states of the model are visited")
+
+// Whatever the order of events: no more than the stated number are out, none goes twice, and it is done when
+// all are back.
+func TestEveryOrder(t *testing.T) {
+	for name, l := range map[string]limits{
+		"a death and two wishes": {looks: 12, deaths: 1, wishes: 2},
+		"two deaths":             {looks: 10, deaths: 2},
+		"three wishes":           {looks: 16, wishes: 3},
+	} {
+		m := &model{left: l, lives: 3}
+		var members []Member
+		for k := range m.nodes {
+			m.nodes[k] = instance{Life: uint64(k + 1), Session: uint64(k + 1), Up: true}
+			members = append(members, Member{ID: uint64(k + 1), Name: fmt.Sprint("n", k+1), Voter: true})
+		}
+		var err error
+		if m.plan, err = Start(Plan{}, Wish{Out: 1, Within: time.Minute}, members); err != nil {
+			t.Fatal(err)
+		}
+		r := explore.All(m, *states)
+		t.Logf("%s: %d states, whole: %v", name, r.States, r.Whole)
+		if r.Wrong != "" {
+			t.Errorf("%s: %s:\n%s", name, r.Wrong, strings.Join(r.Way, "\n"))
+		}
+	}
+}
+
+// With nothing in the way it comes to its end, whoever leads last; with an instance that does not come back
+// it halts and says why, and a resume goes on.
+func TestARollOfFive(t *testing.T) {
+	var members []Member
+	var seen []Seen
+	for k := range uint64(5) {
+		name, zone := fmt.Sprint("n", k+1), fmt.Sprint("z", k%2)
+		members = append(members, Member{k + 1, name, zone, true})
+		seen = append(seen, Seen{Member: k + 1, Name: name, Zone: zone, Voter: true, Life: k + 1, Well: true,
+			Last: k == 0})
+	}
+	p, err := Start(Plan{}, Wish{Out: 2, Within: time.Minute}, members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, order := NewConductor(), []string{}
+	for now := time.Duration(0); p.Standing == Rolling; now += time.Second {
+		p, _ = c.Look(now, p, seen)
+		for i, s := range p.Steps {
+			k := slices.IndexFunc(seen, func(x Seen) bool { return x.Member == s.Member })
+			switch x := &seen[k]; {
+			case s.Phase == Out && x.Life == s.Life && s.Name != "n4":
+				order = append(order, s.Name)
+				x.Life += 100
+			case s.Phase == Out && s.Name == "n4":
+				x.Well, x.Life, x.Why = false, 0, "it has no session"
+				_ = i
+			}
+		}
+	}
+	if p.Standing != Halted || p.Why != "n4 is not back within 1m0s: it has no session" {
+		t.Fatalf("it is %s", p.Progress())
+	}
+	seen[3].Well, seen[3].Life = true, 104
+	if p, err = Resume(p); err != nil {
+		t.Fatal(err)
+	}
+	for now := time.Hour; p.Standing == Rolling && now < 2*time.Hour; now += time.Second {
+		p, _ = c.Look(now, p, seen)
+		for k := range seen {
+			if p.Go(seen[k].Member, seen[k].Life) {
+				order = append(order, seen[k].Name)
+				seen[k].Life += 100
+			}
+		}
+	}
+	if p.Standing != Done || order[len(order)-1] != "n1" || len(order) != 4 {
+		t.Errorf("%s, in the order of %v", p.Progress(), order)
+	}
+}
+
+func TestWishesThatCanNotBeMet(t *testing.T) {
+	three := []Member{{1, "n1", "a", true}, {2, "n2", "a", true}, {3, "n3", "b", true}}
+	good := Wish{Out: 1, Within: time.Minute, Alone: true}
+	under, err := Start(Plan{}, good, three)
+	if err != nil {
+		t.Fatal(err)
+	}
+	with := func(do func(*Wish)) Wish {
+		w := good
+		do(&w)
+		return w
+	}
+	begin := func(do func(*Wish)) func() (Plan, error) {
+		return func() (Plan, error) { return Start(Plan{}, with(do), three) }
+	}
+	for want, try := range map[string]func() (Plan, error){
+		"is the only instance of zone b": begin(func(w *Wish) { w.Alone = false }),
+		"without n1 there is no majority of 2": func() (Plan, error) {
+			return Start(Plan{}, good, three[:2])
+		},
+		`no instance "n9"; n1, n2, n3 are`:         begin(func(w *Wish) { w.Only = []string{"n9"} }),
+		"0 at once is none":                        begin(func(w *Wish) { w.Out = 0 }),
+		"not a time from 1s to 24h":                begin(func(w *Wish) { w.Within = 0 }),
+		"is rolling: 0 back, 0 out, 3 to go":       func() (Plan, error) { return Start(under, good, three) },
+		"nothing is to be resumed":                 func() (Plan, error) { return Resume(under) },
+		"nothing is to be stopped: nothing is und": func() (Plan, error) { return Stop(Plan{}) },
+		"nothing is to be undone":                  func() (Plan, error) { return Undo(Plan{}) },
+	} {
+		if _, err := try(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, wanted was %q", err, want)
+		}
+	}
+	many := make([]Member, 200)
+	for k := range many {
+		many[k] = Member{uint64(k) << 50, fmt.Sprint("n", k), "a", true}
+	}
+	if _, err := Start(Plan{}, good, many); err == nil || !strings.Contains(err.Error(), "name fewer") {
+		t.Errorf("a plan that no note holds: %v", err)
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -29,6 +29,7 @@
 	Rollout  Rollout
 	View     placement.View // who may own what by placement
 	Subjects map[string]any // how each stands that has something to say, by its section
+	Life     uint64         // the number that its process drew when it started
 }
 
 // MemberStatus is how a member stands, as far as this instance knows.
@@ -69,7 +70,7 @@
 		return st
 	}
 	st.Revision = i.state.Newest().Revision
-	st.Rollout = i.rollout()
+	st.Rollout, st.Life = i.rollout(), i.ses.holder.Nonce()
 	st.View, st.Subjects = i.state.View(), i.subjects()
 	for _, m := range i.state.Members() {
 		ms := MemberStatus{Member: m, Voter: slices.Contains(i.conf.GetVoters(), m.ID)}
--- a/internal/consensus/subjects.go
+++ b/internal/consensus/subjects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"moorstack/internal/agreement"
 	"moorstack/internal/placement"
@@ -30,7 +31,7 @@
 func (i *Instance) view(p subjectPart) subject.View {
 	x := &i.ses
 	v := subject.View{Now: x.now, State: i.state.Part(p.Section()), Applied: i.applied,
-		Lease: i.policy().Lease, Away: x.away, Group: group{i}}
+		Lease: i.policy().Lease, Away: x.away, Group: group{i}, Self: i.identity.Id, Life: x.holder.Nonce()}
 	if epoch := x.holder.Epoch(); epoch != 0 && !i.gone() {
 		v.Own = placement.Seat{Member: i.identity.Id, Epoch: epoch}
 		v.Until = x.seats.right.Until(epoch, v.Lease)
@@ -47,7 +48,8 @@
 	x := &g.i.ses
 	var list []subject.Member
 	for _, m := range g.i.state.Members() {
-		one := subject.Member{Member: placement.Member{Seat: placement.Seat{Member: m.ID}, Name: m.Name}}
+		one := subject.Member{Member: placement.Member{Seat: placement.Seat{Member: m.ID}, Name: m.Name},
+			Voter: slices.Contains(g.i.conf.GetVoters(), m.ID)}
 		if x.leader != nil {
 			one.Well = x.leader.Well(x.now, m.ID, g.i.policy().Lease)
 		}
--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -16,15 +16,20 @@
 const (
 	Backup = "backup"   // writes backups of the agreed state
 	List   = "list"     // asks discovery, and gives the list to the others
+	Roll   = "roll"     // takes the instances out one after another; its note is a plan (package conduct)
 	Drill  = "drill-%d" // does nothing, many times a second: for practice, and for audits
 )
 
 // CanBackup is the label of an instance that has a directory for backups.
 const CanBackup = "backups"
 
+// Zone begins the label that says in which zone an instance is.
+const Zone = "zone="
+
 // Policy is what the section says.
 type Policy struct {
 	List   bool // one asks discovery for all
+	Roll   bool // there is a conductor of rolling restarts
 	Drills int
 	Every  time.Duration // between two backups; 0: none are made
 	Keep   int           // how many stay
@@ -47,6 +52,10 @@
 			if p.List = text == "on"; !p.List && text != "off" {
 				bad("on or off")
 			}
+		case "roll":
+			if p.Roll = text == "on"; !p.Roll && text != "off" {
+				bad("on or off")
+			}
 		case "backup_every":
 			p.Every, err = time.ParseDuration(text)
 			if err != nil || p.Every < time.Second || p.Every > 366*24*time.Hour {
@@ -60,7 +69,8 @@
 			p.Prefer = strings.Fields(text)
 		default:
 			wrong = append(wrong, fmt.Sprintf(
-				"%q is no key of this section; list, backup_every, backup_keep, backup_prefer and drill are",
+				"%q is no key of this section; list, roll, backup_every, backup_keep, backup_prefer and "+
+					"drill are",
 				key))
 		}
 	}
@@ -73,6 +83,9 @@
 	if p.List {
 		list = append(list, Spec{Name: List})
 	}
+	if p.Roll {
+		list = append(list, Spec{Name: Roll})
+	}
 	if p.Every > 0 {
 		list = append(list, Spec{Name: Backup, Label: CanBackup, Prefer: p.Prefer})
 	}
--- a/internal/duty/subject.go
+++ b/internal/duty/subject.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"time"
 
+	"moorstack/internal/conduct"
 	"moorstack/internal/placement"
 	"moorstack/internal/schema"
 	"moorstack/internal/subject"
@@ -116,6 +118,7 @@
 	holder Holder
 	leader *Leader
 	last   []Held // as told last
+	noted  Noted
 	wall   func() time.Time
 	labels []string
 	words  map[uint64][]string // the labels that members have named, for the leader
@@ -174,18 +177,37 @@
 		Labels: p.words[m.Seat.Member]}
 }
 
-// Act tells what this instance holds, when that has changed.
+// Noted is that a plan of rolling restarts was noted: it is for all instances to read, and not for who holds
+// the duty alone.
+type Noted struct {
+	Turn uint64 // 0: there is none
+	Self uint64 // the member number of who is told
+	Life uint64 // of its process
+	Note []byte
+}
+
+// Act tells what this instance holds, and what was noted for all, when that has changed.
 func (p *part) Act(v subject.View) (told []any, _ []*schema.Change) {
+	told = p.plan(v)
 	p.holder.Applied(v.Applied)
 	var held []Held
 	if v.Own.Epoch != 0 {
 		held = p.holder.Holds(v.State.(*Agreed).State, Seat(v.Own), v.Lease)
 	}
 	if len(held) == 0 && len(p.last) == 0 || reflect.DeepEqual(held, p.last) {
-		return nil, nil
+		return told, nil
 	}
 	p.last = held
-	return []any{held}, nil
+	return append(told, held), nil
+}
+
+func (p *part) plan(v subject.View) []any {
+	d := v.State.(*Agreed).Duties[Roll]
+	if d == nil || d.Turn == p.noted.Turn {
+		return nil
+	}
+	p.noted = Noted{Turn: d.Turn, Self: v.Self, Life: v.Life, Note: d.Note}
+	return []any{p.noted}
 }
 
 // Operate puts an operator's wish into words, where it can be met.
@@ -222,12 +244,61 @@
 			}
 			c.To = m.Seat.Member
 		}
+	case schema.Operation_ROLL, schema.Operation_ROLL_STOP, schema.Operation_ROLL_RESUME,
+		schema.Operation_ROLL_UNDO:
+		c.Duty = Roll
+		if err := p.roll(v, op, &c); err != nil {
+			return nil, true, err
+		}
 	default:
 		return nil, false, nil
 	}
 	return Encode(c), true, nil
 }
 
+// roll puts a wish of rolling restarts into the plan that is noted. Both are words under the holder's number,
+// and in the place of the note that was read: of two at the same time one is void.
+func (p *part) roll(v subject.View, op *schema.Operation, c *Command) error {
+	d := v.State.(*Agreed).Duties[Roll]
+	switch {
+	case d == nil:
+		return fmt.Errorf("the configuration has no conductor: say roll = \"on\" in the section %q", Section)
+	case !d.Held():
+		return fmt.Errorf("nobody conducts at this moment; ask again")
+	}
+	plan, err := conduct.Read(d.Note)
+	if err != nil {
+		return err
+	}
+	switch op.Kind {
+	case schema.Operation_ROLL_STOP:
+		plan, err = conduct.Stop(plan)
+	case schema.Operation_ROLL_RESUME:
+		plan, err = conduct.Resume(plan)
+	case schema.Operation_ROLL_UNDO:
+		plan, err = conduct.Undo(plan)
+	default:
+		var members []conduct.Member
+		for _, m := range v.Group.Members() {
+			one := conduct.Member{ID: m.Seat.Member, Name: m.Name, Voter: m.Voter}
+			for _, l := range p.words[m.Seat.Member] {
+				if zone, ok := strings.CutPrefix(l, Zone); ok {
+					one.Zone = zone
+				}
+			}
+			members = append(members, one)
+		}
+		plan, err = conduct.Start(plan, conduct.Wish{By: op.Author, Out: int(op.Out),
+			Within: time.Duration(op.WithinNs), Alone: op.Alone, Only: op.Only}, members)
+	}
+	if err != nil {
+		return err
+	}
+	c.Kind, c.Number, c.Turn = Note, d.Number, d.Turn
+	c.Note, err = plan.Note()
+	return err
+}
+
 func (p *part) named(v subject.View, name string) (Member, bool) {
 	for _, m := range v.Group.Members() {
 		if m.Name == name {
--- a/internal/node/backups.go
+++ b/internal/node/backups.go
@@ -14,12 +14,13 @@
 	"moorstack/internal/duty"
 )
 
-// labels are what this instance has that duties ask for.
-func (c *ServeConfig) labels() []string {
+// labels are what this instance has that duties ask for, and where it is.
+func (c *ServeConfig) labels(zone string) []string {
+	list := []string{duty.Zone + zone}
 	if c.Duties.Backups != "" {
-		return []string{duty.CanBackup}
+		list = append(list, duty.CanBackup)
 	}
-	return nil
+	return list
 }
 
 // backups keeps a backup of the agreed state for each period. Which period it is goes by the wall
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -64,6 +64,8 @@
 // told takes what the subjects have to say. It is called on the runner's goroutine.
 func (i *Instance) told(word any) {
 	switch word := word.(type) {
+	case duty.Noted:
+		i.leaves.noted(word)
 	case []duty.Held:
 		i.keeper.tell(word)
 	case schedule.Clock:
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -48,6 +48,7 @@
 	plans   *triggers
 	shares  *shares
 	words   *witnesses
+	leaves  *leaves
 	zones   *calendar.Zones
 
 	mu      sync.Mutex
@@ -89,7 +90,7 @@
 	i := &Instance{cfg: cfg, log: log, program: program, latest: make(chan agreement.Revision, 1),
 		pending: make(chan agreement.Revision, 1), gate: closed()}
 	i.keeper, i.rates, i.plans = newKeeper(i), newRates(i), newTriggers(i)
-	i.shares, i.words = newShares(i), newWitnesses(i)
+	i.shares, i.words, i.leaves = newShares(i), newWitnesses(i), newLeaves(i)
 	i.gate.rates, i.gate.shares = i.rates, i.shares
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
@@ -142,7 +143,7 @@
 	}
 	i.runner, err = consensus.Open(consensus.RunnerConfig{
 		Config: consensus.Config{Rules: Rules(), Log: log.WithField("part", "agreement"), Wall: wall,
-			Zones: i.zones, Labels: cfg.labels()}, Name: cfg.Name,
+			Zones: i.zones, Labels: cfg.labels(i.zone())}, Name: cfg.Name,
 		Dir: filepath.Join(cfg.Data, "agreement"), Tick: time.Duration(cfg.Peers.Tick), Transport: i.network,
 		Revision: func(r agreement.Revision) { offer(i.latest, r) },
 		Stage:    func(r agreement.Revision) { offer(i.pending, r) }, Permit: i.permitted,
@@ -175,6 +176,7 @@
 	} else if err := i.reroute(); err != nil {
 		return err
 	}
+	i.network.TellFronts(i.fronts)
 	i.lists = newHub(i)
 	i.network.TellLists(i.lists.tell)
 	i.network.TakeRates(i.rates.heard)
@@ -219,12 +221,16 @@
 	return nil
 }
 
-// Run serves until the node has been asked to end.
+// Run serves until the node has been asked to end. With ErrAnew the program is to be started in its place.
 func (i *Instance) Run(signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go i.keepUp(ctx)
-	return errors.Join(i.node.Run(signals), i.stop())
+	err := errors.Join(i.node.Run(i.leaves.among(signals)), i.stop())
+	if err == nil && i.leaves.anew() {
+		return ErrAnew
+	}
+	return err
 }
 
 // offer hands a revision on without waiting: who takes them takes the newest.
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -235,6 +235,8 @@
 	switch name {
 	case duty.Backup:
 		return k.backups
+	case duty.Roll:
+		return k.conduct
 	case duty.List:
 		return k.i.lists.keep
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -45,6 +45,9 @@
 	Duties struct {
 		// Where this instance can keep backups of what the group has agreed on.
 		Backups string `toml:"backups"`
+		// What becomes of its process when a rolling restart takes it out: "end", whoever runs it starts it
+		// again, or "start": it starts the program anew in its own place.
+		Out string `toml:"out"`
 	} `toml:"duties"`
 
 	// Test is for tests: see TestClocks.
@@ -111,6 +114,12 @@
 	if _, err := netip.ParseAddr(c.Peers.From); err != nil && c.Peers.From != "" {
 		return nil, bad("peers.from", "%q is not an address; it has no port", c.Peers.From)
 	}
+	if c.Duties.Out == "" {
+		c.Duties.Out = outEnds
+	}
+	if c.Duties.Out != outEnds && c.Duties.Out != outStarts {
+		return nil, bad("duties.out", "%q is neither %q nor %q", c.Duties.Out, outEnds, outStarts)
+	}
 	if c.Peers.Tick == 0 {
 		c.Peers.Tick = duration(100 * time.Millisecond)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -51,6 +51,10 @@
 	// lists tells discovery's list to a caller; nil: this instance keeps none.
 	lists func(context.Context, func(*schema.ListNews) error) error
 
+	// fronts says of this instance's own fronts where they are, which revision they run, and why they
+	// admit nothing.
+	fronts func(*schema.Description)
+
 	mu      sync.Mutex
 	links   map[string]*link // by address
 	closed  bool
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -164,8 +164,25 @@
 // Describe implements schema.PeersServer.
 func (s *server) Describe(context.Context, *schema.DescribeRequest) (*schema.Description, error) {
 	st := s.n.runner.Status()
-	return &schema.Description{Id: st.ID, Name: st.Name, Cluster: st.Cluster, Program: s.n.program,
-		Format: agreement.Format}, nil
+	out := &schema.Description{Id: st.ID, Name: st.Name, Cluster: st.Cluster, Program: s.n.program,
+		Format: agreement.Format, Life: st.Life}
+	if s.n.fronts != nil {
+		s.n.fronts(out)
+	}
+	return out, nil
+}
+
+// TellFronts says how this instance's fronts stand.
+func (n *Network) TellFronts(f func(*schema.Description)) { n.fronts = f }
+
+// Describe asks another instance how it stands.
+func (n *Network) Describe(ctx context.Context, to agreement.Member) (*schema.Description, error) {
+	conn, err := n.dial(to)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return schema.NewPeersClient(conn).Describe(ctx, &schema.DescribeRequest{})
 }
 
 // Invite implements schema.PeersServer.
@@ -335,6 +352,14 @@
 		return op.Name + " is paused: nobody is given it, and who holds it gives it back"
 	case schema.Operation_RESUME:
 		return op.Name + " is resumed"
+	case schema.Operation_ROLL:
+		return "the instances are taken out one after another; cluster roll show says how far that is"
+	case schema.Operation_ROLL_STOP:
+		return "nobody else is taken out; who is out is awaited"
+	case schema.Operation_ROLL_RESUME:
+		return "the rolling restart goes on"
+	case schema.Operation_ROLL_UNDO:
+		return "those that were taken out go once more, the last first"
 	}
 	return ""
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -44,6 +44,10 @@
 	Accounts  int // whose rates are kept over all instances; 0: none
 	Names     int // accounts without a line of their own, to which half of the calls belong
 	Triggers  int // that fire over all of them; 0: none
+	// Rolls is how many instances rolling restarts may have out at once; 0: there are none. With Wishes they
+	// are stopped and undone now and then.
+	Rolls  int
+	Wishes bool
 	// Clock is what all instances' clocks show at the beginning, and Speed how fast they run; the
 	// machine's own, if it is zero. OldRules is who has other zone rules than the rest.
 	Clock    time.Time
@@ -79,6 +83,8 @@
 
 	mu       sync.Mutex
 	watchers map[chan entry]bool // of the journals
+	hit      []hit               // that were killed or made to stand still
+	lost     []string            // jobs without an answer
 	took     map[string]int      // jobs that workers have taken, by key
 	clock    clockFile           // the true one
 }
@@ -201,6 +207,9 @@
 	if name == f.o.OldRules {
 		text += "zones = \"Etc/GMT-1\"\n"
 	}
+	if f.o.Rolls > 0 {
+		text += "[duties]\nout = \"start\"\n"
+	}
 	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -270,6 +279,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
+		f.hits(p)
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
 		p.cmd = nil
@@ -305,6 +315,7 @@
 	if on {
 		sig = syscall.SIGSTOP
 	}
+	f.hits(p)
 	_ = p.cmd.Process.Signal(sig)
 	p.stalled = on
 }
@@ -377,6 +388,7 @@
 
 // Fill has an instance's disk be full: no file grows any more.
 func (f *Fleet) Fill(p *Process) error {
+	f.hits(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -58,6 +58,8 @@
 				return nil
 			}
 			w = lead.Name
+		case Conductor:
+			_, w, _ = p.plan(ctx)
 		case It:
 			w = it
 		case Asked:
--- a/internal/subject/subject.go
+++ b/internal/subject/subject.go
@@ -140,6 +140,8 @@
 	Now     time.Duration
 	State   State
 	Applied uint64         // entries of the log
+	Self    uint64         // its member number
+	Life    uint64         // the number that its process drew when it started
 	Own     placement.Seat // its session; Epoch 0: none, or none any more
 	Until   time.Duration  // when its right to act on what it owns by placement ends
 	Lease   time.Duration  // how long any instance's lasts
@@ -165,7 +167,8 @@
 // Member is an instance of the group.
 type Member struct {
 	placement.Member
-	Well bool // it has been heard of lately
+	Well  bool // it has been heard of lately
+	Voter bool
 }
 
 // Words is a subject of which nothing is agreed on but a section of the document.
