Hand duties on at a stand-by, and bring faults about at each step of a duty's work

An instance that an operator had stand by kept its duties, and was given more. It hands them on now, where others can hold them, and is given none until it serves again; alone in its group it keeps them. A test with processes shows both.

The rig knows the steps of a duty's work (@holds, @acts, @gives) and of a rolling restart (@out), and who conducts may be named in a story.

A plan of a rolling restart has to fit into its note with all that it may come to, and not only as it begins: found by reading. A resume counted on from before a halt where no look came between: found by a test.

--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -33,6 +33,7 @@
 	discovery string
 	own       map[string]string // one's own, in its place
 	fronts    map[string]string // where they listen, if it must be known before
+	admin     map[string]string // where operators call, if they do
 }
 
 func newGroup(t *testing.T) *group {
@@ -90,6 +91,9 @@
 		if at := cmp.Or(g.own[name], g.discovery); at != "" {
 			discovery = fmt.Sprintf("discovery = %q\n", at)
 		}
+		if at := g.admin[name]; at != "" {
+			discovery += fmt.Sprintf("admin = %q\n", at)
+		}
 		check(g.t, os.WriteFile(file, fmt.Appendf(nil, `name = %q
 data = "d-%[1]s"
 [front]
--- a/cmd/moorstack/duty_test.go
+++ b/cmd/moorstack/duty_test.go
@@ -114,6 +114,42 @@
 	}
 }
 
+// One that stands by hands its duties on, and is given none until it serves again; alone it keeps them.
+func TestStandbyHandsOn(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	g.admin = map[string]string{"n1": freeAddress(t), "n2": freeAddress(t), "n3": freeAddress(t)}
+	all := []string{"n1", "n2", "n3"}
+	g.form("n1")
+	g.sections("n1", "[section.duties]\ndrill = \"2\"\n")
+	g.held("drill-1", 0, "n1")
+	g.must("call", g.admin["n1"], "standby")
+	time.Sleep(500 * time.Millisecond) // in which it must not be given back
+	if d := g.duty("drill-1", "n1"); d == nil || d.Holder != "n1" {
+		t.Errorf("nobody else is there, and it is held by %+v", d)
+	}
+	for _, n := range all[1:] {
+		g.start(n)
+		g.must("cluster", "add", n, g.addr[n], "--promote", "--config", "n1.toml")
+	}
+	for _, name := range []string{"drill-1", "drill-2"} {
+		eventually(t, name+" is handed on", func() bool {
+			d := g.duty(name, all...)
+			return d != nil && d.Holder != "" && d.Holder != "n1"
+		})
+	}
+	g.expect(exitFailed, "n1 is about to go", "duty", "hand-on", "drill-1", "n1", "--config", "n2.toml")
+	g.must("call", g.admin["n1"], "active")
+	eventually(t, "it may hold duties again", func() bool {
+		_, code := g.run("duty", "hand-on", "drill-1", "n1", "--config", "n2.toml")
+		return code == 0
+	})
+	eventually(t, "it holds it", func() bool {
+		d := g.duty("drill-1", all...)
+		return d != nil && d.Holder == "n1"
+	})
+}
+
 // One backup for each period, through deaths of whoever keeps them; a directory takes nothing under
 // an old number.
 func TestBackupKeeper(t *testing.T) {
--- a/cmd/moorstack/rollout_test.go
+++ b/cmd/moorstack/rollout_test.go
@@ -241,6 +241,10 @@
 			"5200ms @switched stall it 900ms\n6700ms @staged:n2 stall n2 300ms",
 		"steps cut": "300ms @proposed deaf leader\n1300ms heal\n1800ms @staged isolate it\n2900ms heal\n" +
 			"3400ms @ceased mute leader\n4500ms heal\n5s @switched isolate it\n6s heal",
+		// Who holds a duty, at each step of its work, while the instances are taken out one after another.
+		"rolls": "1ms @holds restart it 300ms\n1500ms @gives stall it 900ms\n3s @holds stall it 1s\n" +
+			"4s @acts isolate it\n5s heal\n5100ms @gives restart it 300ms\n6s @out restart it 200ms\n" +
+			"6500ms @out restart conductor 300ms\n7500ms @acts stall conductor 600ms",
 		"disks": "300ms @proposed torn leader 300ms\n1500ms @staged full it 600ms\n" +
 			"3s @ceased full leader 600ms\n4500ms @switched torn it 300ms\n6s @proposed torn asked 200ms",
 		// These two find a lease that counts from its answer, and a front that is open too early.
@@ -251,8 +255,11 @@
 			t.Parallel()
 			mine := &group{t: t, dir: t.TempDir()}
 			check(t, os.WriteFile(filepath.Join(mine.dir, "story.txt"), []byte(story), 0o600))
-			mine.expect(0, ", 0 violations", "prove", "cluster", "--story", "story.txt", "--for", "8s",
-				"--rate", "50")
+			args := []string{"prove", "cluster", "--story", "story.txt", "--for", "8s", "--rate", "50"}
+			if name == "rolls" {
+				args = append(args, "--rolls", "1")
+			}
+			mine.expect(0, ", 0 violations", args...)
 		})
 	}
 	check(t, os.WriteFile(filepath.Join(g.dir, "bad.txt"), []byte("1s heal\n2s burn n1"), 0o600))
--- a/internal/conduct/conduct.go
+++ b/internal/conduct/conduct.go
@@ -15,11 +15,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
 )
 
+// maxWhy is how much of a reason is kept.
+const maxWhy = 200
+
 // MaxNote is how long a plan may be, in bytes: that of a duty's note.
 const MaxNote = 4096
 
@@ -189,7 +193,14 @@
 		p.Steps = append(p.Steps, Step{Member: m.ID, Name: m.Name, Zone: m.Zone})
 	}
 	slices.SortFunc(p.Steps, func(a, b Step) int { return strings.Compare(a.Name, b.Name) })
-	_, err := p.Note()
+	// Hazard: the plan grows on its way. What it may come to has to fit.
+	long := p
+	long.Steps = slices.Clone(p.Steps)
+	for i := range long.Steps {
+		long.Steps[i].Phase, long.Steps[i].Life, long.Steps[i].Again = Out, math.MaxUint64, true
+	}
+	long.Undo, long.Why = true, strings.Repeat("-", maxWhy)
+	_, err := long.Note()
 	return p, err
 }
 
--- a/internal/conduct/conductor.go
+++ b/internal/conduct/conductor.go
@@ -24,7 +24,7 @@
 	out     map[uint64]time.Duration // since when it has been seen out
 	blocked time.Duration            // since when nobody may be taken out
 	waits   bool                     // it has been
-	rolling bool                     // the plan was, when it was looked at last
+	rolling bool                     // the plan was, after the last look
 }
 
 // NewConductor begins to conduct. Hazard: how long an instance has been out is not known to it. It begins
@@ -34,6 +34,13 @@
 // Look gives the plan as it is to be noted, and whether that is another one. All that it changes counts only
 // once it is agreed on.
 func (c *Conductor) Look(now time.Duration, p Plan, seen []Seen) (Plan, bool) {
+	p, changed := c.look(now, p, seen)
+	p.Why = p.Why[:min(len(p.Why), maxWhy)]
+	c.rolling = p.Standing == Rolling
+	return p, changed
+}
+
+func (c *Conductor) look(now time.Duration, p Plan, seen []Seen) (Plan, bool) {
 	if !p.Under() {
 		return p, false
 	}
@@ -42,7 +49,6 @@
 		clear(c.out)
 		c.waits = false
 	}
-	c.rolling = p.Standing == Rolling
 	p.Steps = slices.Clone(p.Steps)
 	changed := c.await(now, &p, seen)
 	if p.Standing != Stopped && p.count(Waits)+p.count(Out) == 0 {
@@ -158,8 +164,8 @@
 		if x.Voter {
 			voters++
 		}
-		if !x.Well && !out(x.Member) {
-			// Who is down for another reason counts as out.
+		if !x.Well && !out(x.Member) && x.Member != one.Member {
+			// Who is down for another reason counts as out; one that is not well itself may go.
 			if away++; away >= p.Out {
 				return fmt.Sprintf("%s is not well: %s", x.Name, x.Why)
 			}
--- a/internal/conduct/explore_test.go
+++ b/internal/conduct/explore_test.go
@@ -1,6 +1,7 @@
 package conduct
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -19,7 +20,8 @@
 // lapses; one dies by itself; an operator stops, resumes or undoes.
 type model struct {
 	left  limits
-	plan  Plan
+	plan  Plan // the newest of those that were noted
+	notes []Plan
 	turn  int
 	nodes [3]instance
 	minds [2]mind
@@ -27,7 +29,7 @@
 	wrong string
 }
 
-type limits struct{ looks, deaths, wishes int }
+type limits struct{ minds, looks, deaths, wishes int }
 
 type instance struct {
 	Life, Session uint64
@@ -51,6 +53,15 @@
 func (m *model) Key() uint64 {
 	b, _ := json.Marshal(m.plan)
 	text := fmt.Sprint(m.left, string(b), m.turn, m.nodes, m.lives)
+	// Of older plans counts what some instance has yet to read.
+	read := m.turn
+	for _, n := range m.nodes {
+		read = min(read, n.Read)
+	}
+	for _, p := range m.notes[read:] {
+		b, _ := json.Marshal(p.Steps)
+		text += string(b)
+	}
 	for _, x := range m.minds {
 		if x.waits {
 			b, _ := json.Marshal(x.plan)
@@ -78,7 +89,7 @@
 			steps = append(steps, explore.Step[*model]{What: what, After: &c})
 		}
 	}
-	for k := range m.minds {
+	for k := range m.left.minds {
 		x := m.minds[k]
 		if !x.waits {
 			// It has waited for as long as an instance has, or not at all.
@@ -99,17 +110,18 @@
 		}
 		event(fmt.Sprint("the note of ", k, " is in the log"), 1, func(c *model) {
 			if c.minds[k].waits = false; x.turn == c.turn {
-				c.plan, c.turn = x.plan, c.turn+1
+				c.note(x.plan)
 			}
 		})
 		event(fmt.Sprint("the note of ", k, " is lost"), 1, func(c *model) { c.minds[k].waits = false })
 	}
 	for k, n := range m.nodes {
 		name := fmt.Sprint("n", k+1)
+		// One that lags reads the next plan, and not yet the one after it.
 		if n.Up && n.Read < m.turn {
-			event(name+" reads the plan", 1, func(c *model) {
+			event(name+" reads the next plan", 1, func(c *model) {
 				x := &c.nodes[k]
-				if x.Read = c.turn; c.plan.Go(uint64(k+1), x.Life) {
+				if x.Read++; c.notes[x.Read].Go(uint64(k+1), x.Life) {
 					x.Up, x.Rolled, x.Goes = false, true, x.Goes+1
 				}
 			})
@@ -120,7 +132,8 @@
 		if !n.Up {
 			event(name+" is started", 1, func(c *model) {
 				c.lives++
-				c.nodes[k] = instance{Life: c.lives, Session: c.lives, Up: true, Goes: n.Goes}
+				// From its own disk it knows of the plan what it knew.
+				c.nodes[k] = instance{Life: c.lives, Session: c.lives, Up: true, Goes: n.Goes, Read: n.Read}
 			})
 			event(name+"'s session lapses", int(min(n.Session, 1)), func(c *model) { c.nodes[k].Session = 0 })
 		}
@@ -128,12 +141,17 @@
 	wishes := map[string]func(Plan) (Plan, error){"stop": Stop, "resume": Resume, "undo": Undo}
 	for what, wish := range wishes {
 		if p, err := wish(m.plan); err == nil {
-			event(what, m.left.wishes, func(c *model) { c.left.wishes--; c.plan, c.turn = p, c.turn+1 })
+			event(what, m.left.wishes, func(c *model) { c.left.wishes--; c.note(p) })
 		}
 	}
 	return steps
 }
 
+func (m *model) note(p Plan) {
+	m.notes = append(slices.Clip(m.notes), p)
+	m.plan, m.turn = p, m.turn+1
+}
+
 // look says what is wrong.
 func (m *model) look() {
 	down := 0
@@ -148,6 +166,9 @@
 		if n.Goes > most {
 			m.wrong = fmt.Sprintf("n%d went %d times", k+1, n.Goes)
 		}
+		if m.plan.Standing == Done && !m.plan.Undo && n.Life == uint64(k+1) {
+			m.wrong = fmt.Sprintf("done, and n%d is the process that it was", k+1)
+		}
 	}
 	if down > m.plan.Out || m.plan.count(Out) > m.plan.Out {
 		m.wrong = fmt.Sprintf("%d are out, and %d to go", down, m.plan.count(Out))
@@ -157,15 +178,17 @@
 	}
 }
 
-var states = flag.Int64("states", 100_000, "how many states of the model are visited")
+var states = flag.Int64("states", 200_000, "how many states of the model are visited")
 
 // Whatever the order of events: no more than the stated number are out, none goes twice, and it is done when
 // all are back.
 func TestEveryOrder(t *testing.T) {
 	for name, l := range map[string]limits{
-		"a death and two wishes": {looks: 12, deaths: 1, wishes: 2},
-		"two deaths":             {looks: 10, deaths: 2},
-		"three wishes":           {looks: 16, wishes: 3},
+		"a roll":                 {minds: 1, looks: 7},
+		"a death":                {minds: 1, looks: 8, deaths: 1},
+		"a wish":                 {minds: 1, looks: 8, wishes: 1},
+		"two conduct":            {minds: 2, looks: 7},
+		"a death and two wishes": {minds: 2, looks: 12, deaths: 1, wishes: 2},
 	} {
 		m := &model{left: l, lives: 3}
 		var members []Member
@@ -177,6 +200,7 @@
 		if m.plan, err = Start(Plan{}, Wish{Out: 1, Within: time.Minute}, members); err != nil {
 			t.Fatal(err)
 		}
+		m.notes = []Plan{m.plan}
 		r := explore.All(m, *states)
 		t.Logf("%s: %d states, whole: %v", name, r.States, r.Whole)
 		if r.Wrong != "" {
@@ -203,6 +227,9 @@
 	c, order := NewConductor(), []string{}
 	for now := time.Duration(0); p.Standing == Rolling; now += time.Second {
 		p, _ = c.Look(now, p, seen)
+		if n := p.count(Out); n > 2 {
+			t.Fatalf("%d are out", n)
+		}
 		for i, s := range p.Steps {
 			k := slices.IndexFunc(seen, func(x Seen) bool { return x.Member == s.Member })
 			switch x := &seen[k]; {
@@ -218,10 +245,13 @@
 	if p.Standing != Halted || p.Why != "n4 is not back within 1m0s: it has no session" {
 		t.Fatalf("it is %s", p.Progress())
 	}
-	seen[3].Well, seen[3].Life = true, 104
 	if p, err = Resume(p); err != nil {
 		t.Fatal(err)
 	}
+	if p, _ = c.Look(30*time.Minute, p, seen); p.Standing != Rolling {
+		t.Fatalf("as soon as it goes on it is %s", p.Progress())
+	}
+	seen[3].Well, seen[3].Life = true, 104
 	for now := time.Hour; p.Standing == Rolling && now < 2*time.Hour; now += time.Second {
 		p, _ = c.Look(now, p, seen)
 		for k := range seen {
@@ -236,6 +266,71 @@
 	}
 }
 
+// Who may be taken out, and why not, by what is seen of the others.
+func TestWhoMayBeTakenOut(t *testing.T) {
+	down := func(who ...int) func([]Seen) {
+		return func(s []Seen) {
+			for _, k := range who {
+				s[k].Well, s[k].Life, s[k].Why = false, 0, "silent"
+			}
+		}
+	}
+	for name, x := range map[string]struct {
+		out  int
+		seen func(s []Seen) // of n1 to n5, in the zones a, a, b, b, b
+		want string         // who goes, or why nobody does
+	}{
+		"all are well":    {1, func([]Seen) {}, "n1"},
+		"the leader last": {1, func(s []Seen) { s[0].Last = true }, "n2"},
+		"another is down": {1, down(4), "n5 is not well: silent"},
+		"two may be out":  {2, down(4), "n1"},
+		"two are down":    {2, down(3, 4), "n5 is not well: silent"},
+		"its fronts hang": {1, func(s []Seen) { s[3].Well = false }, "n4"},
+		"no majority":     {4, down(3, 4), "without n1 only 2 of 5 voters"},
+		"one without a vote": {4, func(s []Seen) {
+			down(3, 4)(s)
+			s[0].Voter = false
+		}, "n1"},
+		"the last of its zone": {2, down(1), "n3"},
+		"the lasts of zones": {3, func(s []Seen) {
+			down(1, 3)(s)
+			s[2].Zone, s[4].Zone, s[0].Voter = "c", "d", false
+		}, "n1 is the last of zone a that is well"},
+	} {
+		var members []Member
+		var seen []Seen
+		for k := range uint64(5) {
+			n, zone := fmt.Sprint("n", k+1), []string{"a", "a", "b", "b", "b"}[k]
+			members = append(members, Member{k + 1, n, zone, true})
+			seen = append(seen, Seen{Member: k + 1, Name: n, Zone: zone, Voter: true, Life: k + 1,
+				Well: true})
+		}
+		p, err := Start(Plan{}, Wish{Out: x.out, Within: time.Second}, members)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.seen(seen)
+		c, got := NewConductor(), ""
+		for now := time.Duration(0); got == "" && now < time.Minute; now += time.Second {
+			p, _ = c.Look(now, p, seen)
+			for _, s := range p.Steps {
+				if s.Phase == Out {
+					got = s.Name
+				}
+			}
+			got = cmp.Or(got, p.Why)
+		}
+		for now := time.Duration(0); now < time.Second; now += 100 * time.Millisecond {
+			if p, _ = c.Look(now, p, seen); p.count(Out) > x.out {
+				t.Errorf("%s: %d are out", name, p.count(Out))
+			}
+		}
+		if !strings.HasPrefix(got, x.want) {
+			t.Errorf("%s: %q, wanted was %q", name, got, x.want)
+		}
+	}
+}
+
 func TestWishesThatCanNotBeMet(t *testing.T) {
 	three := []Member{{1, "n1", "a", true}, {2, "n2", "a", true}, {3, "n3", "b", true}}
 	good := Wish{Out: 1, Within: time.Minute, Alone: true}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -198,6 +198,16 @@
 // patience is how long an instance that ends takes for handing on what it holds.
 const patience = time.Second
 
+// idle has the group give this instance no duties while it stands by, and those that it holds to others, where
+// others can hold them.
+func (k *keeper) idle(on bool) {
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	if err := k.i.runner.Away(ctx, on); err != nil {
+		k.log.WithError(err).Warn("the group is not told that this instance stands by, or does no more")
+	}
+}
+
 // leave has every duty be given back, and none be given to this instance: it is about to end. Open
 // jobs may take long yet, and the duties need not wait for them.
 func (k *keeper) leave() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,9 @@
 	Reloaded func()
 	// Ending, where it is set, is called when the node is asked to end, on its loop, before it drains.
 	Ending func()
+	// Idle, where it is set, is called on the loop when an operator has the node stand by (true), and when
+	// that ends.
+	Idle func(bool)
 
 	loop  *net.Loop
 	log   logrus.FieldLogger
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -59,7 +59,20 @@
 
 func (o operators) Standby() error {
 	o.front.Standby()
+	o.idle(true)
 	return nil
 }
 
-func (o operators) Active() error { return o.front.Active() }
+func (o operators) Active() error {
+	err := o.front.Active()
+	if err == nil {
+		o.idle(false)
+	}
+	return err
+}
+
+func (o operators) idle(on bool) {
+	if o.Idle != nil {
+		o.Idle(on)
+	}
+}
--- a/internal/rig/story.go
+++ b/internal/rig/story.go
@@ -70,14 +70,22 @@
 	Conductor = "conductor"
 )
 
-// steps are those of a change's life that a fault may wait for, with what the journals call them.
+// steps are those of a change's life, or of a duty's work, that a fault may wait for, with what the journals
+// call them.
 var steps = map[string]struct{ what, says string }{
+	"holds":    {"hold", "it has learned that it holds a duty, and begins its work"},
+	"acts":     {"act", "it has acted in a duty just now"},
+	"gives":    {"leave", "it has ended its work in a duty, and gives it back"},
+	"out":      {"out", "it has read that a rolling restart takes it out (see --rolls)"},
 	"proposed": {"staging", "an instance hears of a change"},
 	"staged":   {"staged", "it is ready to switch to it, and says so"},
 	"ceased":   {"permit", "it admits no jobs any more, and says so"},
 	"switched": {"run", "it has learned that the change is in force, and runs it"},
 }
 
+// ofChanges are the steps of a change, in their order.
+var ofChanges = []string{"proposed", "staged", "ceased", "switched"}
+
 func (f Fault) String() string {
 	s := fmt.Sprintf("%8.3fs  ", f.At.Seconds())
 	if f.Step != "" {
@@ -145,7 +153,7 @@
 	if step, ok := strings.CutPrefix(words[0], "@"); ok {
 		f.Step, f.Of, _ = strings.Cut(step, ":")
 		if _, ok := steps[f.Step]; !ok {
-			return f, fmt.Errorf("@%s: a change has no such step; %s are", f.Step, strings.Join(
+			return f, fmt.Errorf("@%s: no change or duty has such a step; %s are", f.Step, strings.Join(
 				slices.Sorted(maps.Keys(steps)), ", "))
 		}
 		if f.Of != "" && !slices.Contains(names, f.Of) {
@@ -216,7 +224,7 @@
 // Steps describes the steps that a fault may wait for, a line each.
 func Steps() string {
 	var b strings.Builder
-	for _, k := range []string{"proposed", "staged", "ceased", "switched"} {
+	for _, k := range slices.Concat(ofChanges, []string{"holds", "acts", "gives", "out"}) {
 		fmt.Fprintf(&b, "  @%-21s %s\n", k, steps[k].says)
 	}
 	return b.String()
@@ -236,7 +244,7 @@
 // Draw makes a story of a seed: faults over a time, each ended some time after.
 func Draw(seed uint64, names []string, length time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	drawn := slices.Sorted(maps.Keys(steps))
+	drawn := slices.Sorted(slices.Values(ofChanges))
 	var list []Fault
 	add := func(at time.Duration, kind string, span time.Duration, who ...string) {
 		f := Fault{At: at.Round(time.Millisecond), Kind: kind, Who: who, For: span.Round(time.Millisecond)}
--- a/internal/rig/tell.go
+++ b/internal/rig/tell.go
@@ -27,7 +27,7 @@
 			var ok bool
 			it, ok = p.step(within, f.Step, f.Of)
 			if stop(); !ok {
-				p.trace(began, "%s: no change was %s %s within %v", f.Kind, f.Step, f.Of, patience)
+				p.trace(began, "%s: nobody came to the step %s %s within %v", f.Kind, f.Step, f.Of, patience)
 				continue
 			}
 		}
