Judge a document by the group's format: "roll" is a key from format 7 on

In a group in which an older program is, a change with roll = "on" was wrong there and right here, and what is wrong is part of what is agreed on: found by reading again. A test has both words.

--- a/internal/agreement/state.go
+++ b/internal/agreement/state.go
@@ -234,7 +234,11 @@
 	if bytes.Equal(b, newest.Document.Encode()) {
 		return refuse(Unchanged)
 	}
-	if p := s.rules.ValidateChange(newest.Document, c.Document); len(p) > 0 {
+	// Hazard: an older program in the group must find the same wrong, word for word: it is part of what is
+	// agreed on. So a document is judged by the group's format, and not by what this program knows.
+	rules := s.rules
+	rules.format = s.format
+	if p := rules.ValidateChange(newest.Document, c.Document); len(p) > 0 {
 		return refuse(Invalid, p...)
 	}
 	return Outcome{Code: Accepted, Revision: newest.Revision + 1}
@@ -371,7 +375,7 @@
 	d := s.Newest().Document
 	for _, p := range s.parts {
 		if s.format >= p.Since() {
-			p.state.Configure(termsOf(d, p.Section()))
+			p.state.Configure(s.rules.termsOf(d, p.Section()))
 		}
 	}
 }
--- a/internal/agreement/subjects.go
+++ b/internal/agreement/subjects.go
@@ -94,8 +94,11 @@
 	return list
 }
 
-func termsOf(d *Document, section string) subject.Terms {
-	t := subject.Terms{Values: d.Sections[section]}
+func (r Rules) termsOf(d *Document, section string) subject.Terms {
+	t := subject.Terms{Values: d.Sections[section], Format: r.format}
+	if t.Format == 0 {
+		t.Format = Format
+	}
 	for _, c := range d.Classes {
 		t.Classes = append(t.Classes, subject.Class{Name: c.Name, Effect: c.Effect, KeyScope: c.KeyScope,
 			GiveUp: time.Duration(c.GiveUp), Window: time.Duration(c.Window)})
--- a/internal/agreement/validate.go
+++ b/internal/agreement/validate.go
@@ -19,6 +19,7 @@
 	// Sections are those with rules that no subject has. One that isn't named may hold anything.
 	Sections map[string]SectionRule
 	Subjects []subject.Subject // what is agreed on beside the document; nil: Subjects()
+	format   int               // of the group that judges; 0: what this program knows
 }
 
 // longest is the longest time that a document may name.
@@ -182,7 +183,7 @@
 			}
 		}
 		if x := r.subject(name); x != nil {
-			for _, why := range x.Check(termsOf(d, name)) {
+			for _, why := range x.Check(r.termsOf(d, name)) {
 				p.add(at, "%s", why)
 			}
 		}
--- a/internal/agreement/weights_test.go
+++ b/internal/agreement/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -37,7 +38,7 @@
 	if err != nil || r.View().Number != last || !bytes.Equal(r.Encode(), s.Encode()) {
 		t.Errorf("restored, the view is %+v, %v; it was %d", r.View(), err, last)
 	}
-	old := strings.Replace(string(s.Encode()), `"format":6`, `"format":5`, 1)
+	old := strings.Replace(string(s.Encode()), fmt.Sprintf(`"format":%d`, Format), `"format":5`, 1)
 	old = old[:strings.Index(old, `,"weights":`)] + "}"
 	if r, err = Restore(Rules{}, []byte(old)); err != nil || r.View().Members[0].Weight != 0 {
 		t.Fatalf("a group of format 5 goes by weights: %v", err)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -228,16 +228,25 @@
 }
 
 func TestSectionIsRead(t *testing.T) {
-	p, wrong := ReadPolicy(map[string]string{"drill": "2", "backup_every": "1h", "backup_prefer": "n2 n1"})
+	p, wrong := ReadPolicy(map[string]string{"drill": "2", "backup_every": "1h", "backup_prefer": "n2 n1"}, 6)
 	if len(wrong) > 0 || len(p.Specs()) != 3 || p.Keep != 24 || p.Specs()[0].Label != CanBackup {
 		t.Errorf("%+v %v", p, wrong)
 	}
 	_, wrong = ReadPolicy(map[string]string{"drill": "x", "backup_every": "1ms", "backup_keep": "0",
-		"bakup": "1"})
+		"bakup": "1"}, 7)
 	for _, want := range []string{`drill: "x" is not a number`, `backup_every: "1ms" is not a time from 1s`,
 		`backup_keep: "0" is not a number from 1`, `"bakup" is no key of this section`} {
 		if !strings.Contains(strings.Join(wrong, "\n"), want) {
 			t.Errorf("%v lacks %q", wrong, want)
 		}
 	}
+	// A group in which an older program is judges as that does, word for word.
+	p, wrong = ReadPolicy(map[string]string{"roll": "on"}, 6)
+	if p.Roll || len(wrong) != 1 || wrong[0] != `"roll" is no key of this section; list, backup_every, `+
+		`backup_keep, backup_prefer and drill are` {
+		t.Errorf("%+v %v", p, wrong)
+	}
+	if p, wrong = ReadPolicy(map[string]string{"roll": "on"}, 7); !p.Roll || len(wrong) > 0 {
+		t.Errorf("%+v %v", p, wrong)
+	}
 }
--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -36,9 +36,19 @@
 	Prefer []string      // who is to keep the backups, the best first
 }
 
-// ReadPolicy reads the section, and gives what is wrong with it.
-func ReadPolicy(values map[string]string) (p Policy, wrong []string) {
+// rollsFrom is the format of the group's log from which on there is a conductor.
+const rollsFrom = 7
+
+// ReadPolicy reads the section, as a group of that format does, and gives what is wrong with it.
+func ReadPolicy(values map[string]string, format int) (p Policy, wrong []string) {
 	p.Keep = 24
+	keys := "list, roll, backup_every, backup_keep, backup_prefer and drill are"
+	if format < rollsFrom {
+		keys = "list, backup_every, backup_keep, backup_prefer and drill are"
+	}
+	unknown := func(key string) {
+		wrong = append(wrong, fmt.Sprintf("%q is no key of this section; %s", key, keys))
+	}
 	for _, key := range slices.Sorted(maps.Keys(values)) {
 		text := values[key]
 		var err error
@@ -53,6 +63,10 @@
 				bad("on or off")
 			}
 		case "roll":
+			if format < rollsFrom {
+				unknown(key)
+				continue
+			}
 			if p.Roll = text == "on"; !p.Roll && text != "off" {
 				bad("on or off")
 			}
@@ -68,10 +82,7 @@
 		case "backup_prefer":
 			p.Prefer = strings.Fields(text)
 		default:
-			wrong = append(wrong, fmt.Sprintf(
-				"%q is no key of this section; list, roll, backup_every, backup_keep, backup_prefer and "+
-					"drill are",
-				key))
+			unknown(key)
 		}
 	}
 	return p, wrong
--- a/internal/duty/subject.go
+++ b/internal/duty/subject.go
@@ -26,7 +26,7 @@
 
 // Check implements subject.Subject.
 func (Subject) Check(t subject.Terms) []string {
-	_, wrong := ReadPolicy(t.Values)
+	_, wrong := ReadPolicy(t.Values, t.Format)
 	return wrong
 }
 
@@ -49,7 +49,7 @@
 
 // Configure implements subject.State.
 func (a *Agreed) Configure(t subject.Terms) {
-	p, _ := ReadPolicy(t.Values)
+	p, _ := ReadPolicy(t.Values, t.Format)
 	a.Specs = p.Specs()
 }
 
--- a/internal/node/backups.go
+++ b/internal/node/backups.go
@@ -49,7 +49,7 @@
 	var content []byte
 	r := k.i.runner
 	if err := r.View(ctx, func(s *agreement.State) {
-		p, _ = duty.ReadPolicy(s.Newest().Document.Sections[duty.Section])
+		p, _ = duty.ReadPolicy(s.Newest().Document.Sections[duty.Section], agreement.Format)
 	}); err != nil || p.Every == 0 {
 		return nil // the group has just lost it
 	}
--- a/internal/subject/subject.go
+++ b/internal/subject/subject.go
@@ -39,6 +39,7 @@
 // Terms are what a document says, as subjects see it.
 type Terms struct {
 	Values  map[string]string // of the subject's section; nil: the document has none
+	Format  int               // of the group's log: what came later is no word of it
 	Classes []Class
 	Tenants []string
 }
