Begin membership: instances probe each other, and status says what is believed of each

With [section.membership] probe = "1s" the members of a group probe each other over the connections that they have; cluster status says alive, suspect, failed, since when, by whom, and whom its own probes don't reach. A doubted instance is given duties after all others. Leases rest on none of it. Off on the platform.

hashicorp/memberlist was weighed: its clocks and goroutines are inside, so that no story in virtual time can be played with it.

A cut between two accuses nobody. A process test: killed, stalled, cut, back.

--- a/cmd/moorstack/cluster.go
+++ b/cmd/moorstack/cluster.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -223,6 +224,15 @@
 				heard += fmt.Sprintf(", runs revision %d", m.Running)
 			}
 		}
+		if m.Seems != "" {
+			heard += fmt.Sprintf(", %s for %s", m.Seems, age(m.SeemsS))
+			if len(m.SeemsBy) > 0 {
+				heard += " by " + strings.Join(m.SeemsBy, " and ")
+			}
+		}
+		if m.UnreachedS > 0 {
+			heard += fmt.Sprintf(", NOT REACHED FROM HERE for %s", age(m.UnreachedS))
+		}
 		if m.Session != "" {
 			heard += ", session " + m.Session
 		}
@@ -234,6 +244,15 @@
 	return t
 }
 
+// age is a time in words.
+func age(seconds float64) string {
+	d := time.Duration(seconds * float64(time.Second))
+	if d < time.Minute {
+		return d.Round(100 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
+
 func newClusterInit(g *global, r *remote) *cobra.Command {
 	var from string
 	cmd := &cobra.Command{
--- a/cmd/moorstack/cluster_test.go
+++ b/cmd/moorstack/cluster_test.go
@@ -140,6 +140,10 @@
 	})
 }
 
+func (g *group) write(file, text string) {
+	check(g.t, os.WriteFile(filepath.Join(g.dir, file), []byte(text), 0o600))
+}
+
 func (g *group) append(file, text string) {
 	f, err := os.OpenFile(file, os.O_APPEND|os.O_WRONLY, 0)
 	check(g.t, err)
--- /dev/null
+++ b/cmd/moorstack/members_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"syscall"
+	"testing"
+
+	"moorstack/internal/rig"
+	"moorstack/internal/schema"
+)
+
+// seems is what an instance believes of another.
+func (g *group) seems(at, of string) (m *schema.MemberStatus) {
+	out, _ := g.run("cluster", "status", "--output", "json", "--config", at+".toml")
+	var s schema.StatusReply
+	if json.Unmarshal([]byte(out), &s) == nil {
+		for _, m := range s.Members {
+			if m.Name == of {
+				return m
+			}
+		}
+	}
+	return &schema.MemberStatus{}
+}
+
+// Instances that probe each other know who is there: one that is killed, one that stands still and comes
+// back, and that a cut between two of them is no death.
+func TestMembership(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t)
+	g.links = rig.NewLinks()
+	t.Cleanup(g.links.Close)
+	all := []string{"n1", "n2", "n3", "n4"}
+	g.form(all...)
+	bad := g.must("config", "get", "--config", "n1.toml") + "[section.membership]\nprobe = \"often\"\n"
+	g.expectChange(exitInvalid, `probe: "often" is not a time from 50ms to 1m`, bad)
+	g.sections("n1", "[section.rollout]\nlease = \"2s\"\n[section.membership]\nprobe = \"200ms\"\n")
+	everybody := func(state string, of string, at ...string) {
+		t.Helper()
+		for _, n := range at {
+			within(t, 3*limit, n+" takes "+of+" for "+state, func() bool {
+				return g.seems(n, of).Seems == state
+			})
+		}
+	}
+	for _, n := range all {
+		everybody("alive", n, without(all, n)...)
+	}
+	// Two that can't reach each other, while the others reach both.
+	g.links.Cut("n2", "n3")
+	within(t, 3*limit, "n2 does not reach n3", func() bool {
+		m := g.seems("n2", "n3")
+		if m.Seems != "alive" {
+			t.Fatalf("others reach it, and n2 takes it for %s", m.Seems)
+		}
+		return m.UnreachedS > 0
+	})
+	g.expect(0, "NOT REACHED FROM HERE", "cluster", "status", "--config", "n2.toml")
+	g.links.Heal()
+	within(t, 3*limit, "n2 reaches n3 again", func() bool { return g.seems("n2", "n3").UnreachedS == 0 })
+	// A death, and the return of a process that knows nothing of it.
+	g.kill("n4", syscall.SIGKILL)
+	everybody("failed", "n4", "n1", "n2", "n3")
+	if out := g.must("cluster", "status", "--config", "n1.toml"); !strings.Contains(out, "failed for") {
+		t.Errorf("status does not tell: %s", out)
+	}
+	g.start("n4")
+	everybody("alive", "n4", "n1", "n2", "n3")
+	// One that stands still for long is held for failed, and says otherwise when it wakes.
+	wake := g.stall("n3")
+	everybody("failed", "n3", "n1", "n2", "n4")
+	wake()
+	for _, n := range all {
+		everybody("alive", n, without(all, n)...)
+	}
+}
+
+func (g *group) expectChange(code int, say, text string) {
+	g.t.Helper()
+	g.write("change.toml", text)
+	g.expect(code, say, "config", "propose", "change.toml", "--config", "n1.toml")
+}
--- a/internal/agreement/document.go
+++ b/internal/agreement/document.go
@@ -22,7 +22,7 @@
 // Format 1 is a group in which a change is in force when it is agreed on. In one of format 2
 // it takes hold as package rollout says, one of format 3 has duties, one of format 4 keeps rates over
 // all fronts, one of format 5 has triggers, one of format 6 weights of its instances, and one of format 7 a
-// conductor of rolling restarts. A group goes to a newer one once all its instances can.
+// conductor of rolling restarts, and probes. A group goes to a newer one once all its instances can.
 const Format = 7
 
 // Bounds on a document. A change beyond them is refused before it is proposed.
--- a/internal/agreement/subjects.go
+++ b/internal/agreement/subjects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"moorstack/internal/duty"
+	"moorstack/internal/membership"
 	"moorstack/internal/placement"
 	"moorstack/internal/ratelimit"
 	"moorstack/internal/rollout"
@@ -23,6 +24,7 @@
 		weights.Subject{},
 		subject.Words{Name: ratelimit.Section, From: 4, Rule: ratelimit.Check},
 		subject.Words{Name: placement.Section, From: 5, Rule: checkWorkers},
+		subject.Words{Name: membership.Section, From: 7, Rule: membership.Check},
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -42,6 +42,8 @@
 	Preview(*agreement.Document, time.Time) ([]string, error)
 	// Holds is which duties this instance holds, as it knows.
 	Holds() []duty.Held
+	// Seems is what is believed of a member, if instances probe each other.
+	Seems(member uint64) (Seeming, bool)
 }
 
 // MaxMessage bounds what is sent and taken: a backup is the largest.
@@ -228,6 +230,7 @@
 				Active: m.Active, Match: m.Match, Known: m.Known},
 		)
 	}
+	s.describeSeeming(out)
 	describe(out, st)
 	s.describeOwners(out, st)
 	return out, nil
--- a/internal/duty/leader.go
+++ b/internal/duty/leader.go
@@ -15,6 +15,8 @@
 	Well   bool // it has been heard of lately
 	Away   bool // it hands on what it holds: it drains, or is about to end
 	Labels []string
+	// Doubted: it is believed to be ill.
+	Doubted bool
 }
 
 // Spec is what the configuration says of a duty.
@@ -208,6 +210,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(first(a.Seat.Member == d.To), first(b.Seat.Member == d.To)),
+		cmp.Compare(first(!a.Doubted), first(!b.Doubted)),
 		// Who has failed at it longest ago comes first of those that have.
 		cmp.Compare(d.Resting[a.Seat.Member], d.Resting[b.Seat.Member]),
 		cmp.Compare(rank(a), rank(b)),
@@ -238,7 +241,7 @@
 			continue
 		}
 		for _, m := range v.Members {
-			if Eligible(m, spec) != nil || d.Resting[m.Seat.Member] > 0 ||
+			if Eligible(m, spec) != nil || m.Doubted || d.Resting[m.Seat.Member] > 0 ||
 				held[d.Holder.Member]-held[m.Seat.Member] < 2 {
 				continue
 			}
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -24,7 +24,9 @@
 }
 
 // followers are those that there are, in the order in which they are told.
-func (i *Instance) followers() []follower { return []follower{i.rates, i.plans, i.shares, i.words} }
+func (i *Instance) followers() []follower {
+	return []follower{i.rates, i.plans, i.shares, i.words, i.beliefs}
+}
 
 // bears says why this instance can't keep what a document says.
 func (i *Instance) bears(d *agreement.Document) error {
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -49,6 +49,7 @@
 	shares  *shares
 	words   *witnesses
 	leaves  *leaves
+	beliefs *beliefs
 	zones   *calendar.Zones
 
 	mu      sync.Mutex
@@ -91,6 +92,7 @@
 		pending: make(chan agreement.Revision, 1), gate: closed()}
 	i.keeper, i.rates, i.plans = newKeeper(i), newRates(i), newTriggers(i)
 	i.shares, i.words, i.leaves = newShares(i), newWitnesses(i), newLeaves(i)
+	i.beliefs = newBeliefs(i)
 	i.gate.rates, i.gate.shares = i.rates, i.shares
 	if err := i.open(); err != nil {
 		return nil, errors.Join(err, i.stop())
@@ -181,6 +183,7 @@
 	i.network.TellLists(i.lists.tell)
 	i.network.TakeRates(i.rates.heard)
 	i.network.TakeWords(i.words.heard)
+	i.network.TakeProbes(i.beliefs.heard)
 	i.node.Ending = func() {
 		i.plans.leave()
 		go i.keeper.leave()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,6 +48,8 @@
 	// rates takes another instance's word on slices; nil: nobody does.
 	rates func(from uint64, m *schema.RateMessage)
 	words func(from uint64, m *schema.WitnessMessage)
+	// probes takes another instance's word on who is there; nil: nobody does.
+	probes func(from uint64, m *schema.MembershipMessage)
 	// lists tells discovery's list to a caller; nil: this instance keeps none.
 	lists func(context.Context, func(*schema.ListNews) error) error
 
@@ -133,6 +135,9 @@
 // TakeWords has this function take others' words on workers. It must be called before Serve.
 func (n *Network) TakeWords(take func(from uint64, m *schema.WitnessMessage)) { n.words = take }
 
+// TakeProbes has this function take others' words on who is there. It must be called before Serve.
+func (n *Network) TakeProbes(take func(from uint64, m *schema.MembershipMessage)) { n.probes = take }
+
 // TakeRates has this function take others' words on slices. It must be called before Serve.
 func (n *Network) TakeRates(take func(from uint64, m *schema.RateMessage)) { n.rates = take }
 
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -122,6 +122,12 @@
 		}
 		return nil
 	}
+	if e.Session != nil && e.Session.Membership != nil {
+		if n.probes != nil {
+			n.probes(e.From, e.Session.Membership)
+		}
+		return nil
+	}
 	if e.Session != nil || st.Rollout.Format < agreement.Format {
 		n.runner.DeliverSession(from, e.Session, e.Format)
 	}
