--- a/cmd/moorstack/prove_cluster.go
+++ b/cmd/moorstack/prove_cluster.go
@@ -253,6 +253,10 @@
 	t.add(fmt.Sprintf("%.0f messages a second between all instances at rest", r.Messages))
 	t.add(fmt.Sprintf("%v from the end of the faults until all admitted jobs",
 		r.Back.Round(time.Millisecond)))
+	if r.Believed > 0 {
+		t.add(fmt.Sprintf("%v until each believed of each that it is there",
+			r.Believed.Round(time.Millisecond)))
+	}
 	t.add(fmt.Sprintf(
 		"%d admissions, %d of accounts (%.0f%% of their rates) and %d acts in duties audited, %d violations",
 		r.Admitted, r.Rated, 100*r.RateUse, r.Acts, len(r.Violations)))
--- a/internal/rig/reach.go
+++ b/internal/rig/reach.go
@@ -148,3 +148,30 @@
 	}
 	return b
 }
+
+// beliefProbe is how often an instance probes another.
+const beliefProbe = "200ms"
+
+// believed waits until each instance believes of each other that it is there: all are, and well. Until looks
+// for a minute, far longer than a refutation takes to go round.
+func (p *play) believed(ctx context.Context, healed time.Time) {
+	err := Until(ctx, "what is believed", func(ctx context.Context) error {
+		for _, x := range p.List {
+			s := x.Status(ctx)
+			if s == nil {
+				return fmt.Errorf("%s does not answer", x.Name)
+			}
+			for _, m := range s.Members {
+				if m.Name != x.Name && (m.Seems != "alive" || m.UnreachedS > 0) {
+					return fmt.Errorf("%s takes %s for %q, and has not reached it for %.1f s", x.Name, m.Name,
+						m.Seems, m.UnreachedS)
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		p.violate("all is well, and still: %v", err)
+	}
+	p.res.Believed = time.Since(healed)
+}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -17,6 +17,7 @@
 	"moorstack/internal/agreement"
 	"moorstack/internal/consensus"
 	"moorstack/internal/duty"
+	"moorstack/internal/membership"
 	"moorstack/internal/placement"
 	"moorstack/internal/ratelimit"
 	"moorstack/internal/schedule"
@@ -47,7 +48,9 @@
 	Took   []time.Duration `json:"took_ns"`
 	Pauses []time.Duration `json:"pauses_ns"` // in which an instance admitted nothing for a change
 	// from the last fault's end until all admitted jobs again
-	Back     time.Duration `json:"back_ns"`
+	Back time.Duration `json:"back_ns"`
+	// from the last fault's end until each instance believes of each other that it is there
+	Believed time.Duration `json:"believed_ns"`
 	Messages float64       `json:"messages_a_s"` // between all instances, while nothing happened
 	Admitted int           `json:"admitted"`
 	Acts     int           `json:"acts"`  // in duties
@@ -171,6 +174,9 @@
 	if err == nil && p.Rolls > 0 {
 		p.rolled(ctx)
 	}
+	if err == nil && p.res.InForce > 0 && p.Renewed() {
+		p.believed(ctx, healed)
+	}
 	if err == nil && p.Triggers > 0 {
 		p.settled(ctx, healedAt)
 	}
@@ -268,6 +274,7 @@
 			}
 			if p.Renewed() {
 				doc.Sections[placement.Section] = map[string]string{"cold_parts": "group"}
+				doc.Sections[membership.Section] = map[string]string{"probe": beliefProbe}
 				// Every twenty changes some of what is owned goes elsewhere, with everybody well.
 				if delete(doc.Sections, weights.Section); n/20%2 == 1 {
 					doc.Sections[weights.Section] = map[string]string{"weight.n1": "2.5", "weight.n2": "0.5"}
