Ask instances over the connections that stand, and keep words on doubts and stand-bys in order

Read again: a conductor opened a connection to each instance ten times a second to ask how it stands; it asks over the one that the messages go by now. Two words on whom to doubt, or two calls of stand-by and active one after the other, could be taken in the other order, and the older one stay: doubts carry a number, and a stand-by is told as it stands when it is told.

Who is doubted comes after all others, where all are doubted one of them is chosen, a late word changes nothing: a test of each fails without its guard. Processes' tests of rolls, stand-bys, membership, duties, lists and upgrades pass.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"moorstack/internal/subject"
 )
 
 var open = func(Seat) bool { return true }
@@ -250,3 +253,41 @@
 		t.Errorf("%+v %v", p, wrong)
 	}
 }
+
+// Who is believed to be ill is given a duty after all others, and where that is said of everybody one of them.
+// A word on that which comes late does not take the place of a later one.
+func TestDoubtsOrderAndBarNobody(t *testing.T) {
+	s := NewState(0)
+	seated := func(Seat) bool { return true }
+	if err := s.Apply(Command{Kind: Declare, Names: []string{"a"}}, seated); err != nil {
+		t.Fatal(err)
+	}
+	goes := func(doubted ...bool) uint64 {
+		v := View{Lease: time.Second, Specs: []Spec{{Name: "a", Prefer: []string{"n1"}}},
+			Over: func(uint64) bool { return false }}
+		for k, d := range doubted {
+			v.Members = append(v.Members, Member{Seat: Seat{Member: uint64(k + 1), Epoch: 1},
+				Name: fmt.Sprint("n", k+1), Well: true, Doubted: d})
+		}
+		for _, c := range NewLeader(0, 1).Look(s, v) {
+			if c.Kind == Assign {
+				return c.Seat.Member
+			}
+		}
+		return 0
+	}
+	for want, doubted := range map[uint64][]bool{1: {false, false}, 2: {true, false}, 3: {true, true, false}} {
+		if got := goes(doubted...); got != want {
+			t.Errorf("%v: %d is given it", doubted, got)
+		}
+	}
+	if goes(true, true) != 1 {
+		t.Error("all are doubted, and the preferred one is not given it")
+	}
+	p := Subject{}.Part(subject.Own{}).(*part)
+	p.Take(subject.View{}, Doubts{Seq: 2, Of: map[uint64]bool{7: true}})
+	p.Take(subject.View{}, Doubts{Seq: 1})
+	if !p.doubts.Of[7] {
+		t.Error("an older word takes the place of a later one")
+	}
+}
--- a/internal/duty/subject.go
+++ b/internal/duty/subject.go
@@ -175,18 +175,21 @@
 // Doubts are the members that are believed not to be there, or to be ill. They are given a duty after all
 // others. Hazard: a belief may be wrong of everybody, and bars nobody. Who holds a duty keeps it: that it has
 // ended only its lease says.
-type Doubts map[uint64]bool
+type Doubts struct {
+	Seq uint64 // grows with each word: one that was said before may come after it
+	Of  map[uint64]bool
+}
 
 // Take takes whom to doubt.
 func (p *part) Take(_ subject.View, word any) {
-	if d, ok := word.(Doubts); ok {
+	if d, ok := word.(Doubts); ok && d.Seq > p.doubts.Seq {
 		p.doubts = d
 	}
 }
 
 // member is a member as the duties' judgement sees it.
 func (p *part) member(v subject.View, m subject.Member) Member {
-	return Member{Seat: Seat(m.Seat), Name: m.Name, Well: m.Well, Doubted: p.doubts[m.Seat.Member],
+	return Member{Seat: Seat(m.Seat), Name: m.Name, Well: m.Well, Doubted: p.doubts.Of[m.Seat.Member],
 		Away:   v.Group.Away(m.Seat.Member),
 		Labels: p.words[m.Seat.Member]}
 }
--- a/internal/node/instance.go
+++ b/internal/node/instance.go
@@ -188,7 +188,10 @@
 		i.plans.leave()
 		go i.keeper.leave()
 	}
-	i.node.Idle = func(on bool) { go i.keeper.idle(on) }
+	i.node.Idle = func(on bool) {
+		i.keeper.stands.Store(on)
+		go i.keeper.idle()
+	}
 	drain := i.node.drain
 	i.node.drain = func(done func()) { drain(func() { i.plans.drained(done) }) }
 	i.node.Reloaded = func() {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,9 @@
 	held  []duty.Held // as told last
 	turns map[string]*turn
 	made  uint64
+
+	stands atomic.Bool // by, by an operator's word
+	idling sync.Mutex  // while the group is told so
 }
 
 // turn is one holding of a duty, from its first step to when it is given back.
@@ -200,7 +204,11 @@
 
 // idle has the group give this instance no duties while it stands by, and those that it holds to others,
 // where others can hold them.
-func (k *keeper) idle(on bool) {
+func (k *keeper) idle() {
+	// Hazard: two calls one after the other may get here in another order. What counts is how it stands now.
+	k.idling.Lock()
+	defer k.idling.Unlock()
+	on := k.stands.Load()
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	defer stop()
 	if err := k.i.runner.Away(ctx, on); err != nil {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -25,6 +25,7 @@
 	policy  membership.Policy
 	timer   *net.Timer
 	members time.Duration // when the group's members were looked at last
+	said    uint64        // words on whom to doubt
 
 	mu   sync.Mutex
 	list map[uint64]membership.Belief
@@ -134,7 +135,7 @@
 // publish has what is believed be there for others, and tells the duties whom to doubt.
 func (b *beliefs) publish(now time.Duration) {
 	list := map[uint64]membership.Belief{}
-	doubts := duty.Doubts{}
+	doubts := map[uint64]bool{}
 	if b.machine != nil {
 		for _, x := range b.machine.Members() {
 			list[uint64(x.ID)] = x
@@ -155,7 +156,8 @@
 	b.list, b.now = list, now
 	b.mu.Unlock()
 	if !same {
-		b.i.runner.Take(duty.Section, doubts)
+		b.said++
+		b.i.runner.Take(duty.Section, duty.Doubts{Seq: b.said, Of: doubts})
 	}
 }
 
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -183,12 +183,12 @@
 
 // Describe asks another instance how it stands.
 func (n *Network) Describe(ctx context.Context, to agreement.Member) (*schema.Description, error) {
-	conn, err := n.dial(to)
+	// Over the connection that stands: a conductor asks ten times a second.
+	l, err := n.link(to)
 	if err != nil {
 		return nil, err
 	}
-	defer conn.Close()
-	return schema.NewPeersClient(conn).Describe(ctx, &schema.DescribeRequest{})
+	return schema.NewPeersClient(l.conn).Describe(ctx, &schema.DescribeRequest{})
 }
 
 // Invite implements schema.PeersServer.
