--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -254,8 +254,8 @@
 	}
 }
 
-// Who is believed to be ill is given a duty after all others, and where that is said of everybody one of them.
-// A word on that which comes late does not take the place of a later one.
+// Who is believed to be ill is given a duty after all others, and where that is said of everybody one of
+// them. A word on that which comes late does not take the place of a later one.
 func TestDoubtsOrderAndBarNobody(t *testing.T) {
 	s := NewState(0)
 	seated := func(Seat) bool { return true }
@@ -276,7 +276,8 @@
 		}
 		return 0
 	}
-	for want, doubted := range map[uint64][]bool{1: {false, false}, 2: {true, false}, 3: {true, true, false}} {
+	for want, doubted := range map[uint64][]bool{
+		1: {false, false}, 2: {true, false}, 3: {true, true, false}} {
 		if got := goes(doubted...); got != want {
 			t.Errorf("%v: %d is given it", doubted, got)
 		}
