Publish beliefs when something has changed, and not with each message

With probes on, each message that an instance heard had all beliefs listed anew on the loop that serves jobs, and most bring nothing new. The machine counts what may have changed, and nothing is done without. Ruled out: a timer, by which a belief would be late. The stories and the process test pass as before; what it saves was not measured.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -70,6 +70,8 @@
 	slow   int             // how slow it takes itself to be: Lifeguard's local health
 	words  map[ID]*rumour
 	events []Belief
+	// news counts what may have changed in what Members gives.
+	news   uint64
 	counts Counts
 }
 
@@ -109,6 +111,7 @@
 // Drop forgets a member: it is no more by agreement.
 func (m *Machine) Drop(id ID) {
 	if x := m.peers[id]; x != nil {
+		m.news++
 		m.count(x.state, -1)
 		delete(m.peers, id)
 		delete(m.ill, id)
@@ -121,6 +124,7 @@
 func (m *Machine) add(now time.Duration, id ID) *peer {
 	x := &peer{id: id, since: now, hears: true, heard: now}
 	m.peers[id] = x
+	m.news++
 	m.count(Alive, 1)
 	at := m.next + m.rng.IntN(len(m.order)-m.next+1)
 	m.order = slices.Insert(m.order, at, id)
@@ -161,6 +165,9 @@
 	return list
 }
 
+// News grows whenever what Members gives may have changed.
+func (m *Machine) News() uint64 { return m.news }
+
 // Members gives the beliefs, by number, without this member's own.
 func (m *Machine) Members() []Belief {
 	list := make([]Belief, 0, len(m.peers))
@@ -306,7 +313,7 @@
 		p.done = true
 	case now >= p.ends:
 		p.done = true
-		x.reach(now, false)
+		m.reach(now, x, false)
 		if p.through {
 			return nil // others reach it: it is there
 		}
@@ -329,9 +336,10 @@
 	return out
 }
 
-func (x *peer) reach(now time.Duration, hears bool) {
+func (m *Machine) reach(now time.Duration, x *peer, hears bool) {
 	if x.hears != hears {
 		x.hears, x.heard = hears, now
+		m.news++
 	}
 }
 
--- a/internal/membership/rumours.go
+++ b/internal/membership/rumours.go
@@ -121,7 +121,7 @@
 	case p.target:
 		p.done = true
 		m.doubt(-1)
-		m.peers[from].reach(now, true)
+		m.reach(now, m.peers[from], true)
 	default:
 		if w.Target == p.target && !p.through {
 			p.through = true
@@ -187,6 +187,7 @@
 
 // becomes takes over what a member is believed to be.
 func (m *Machine) becomes(now time.Duration, x *peer, r Rumour) {
+	m.news++
 	if r.State != x.state || r.Inc != x.inc {
 		m.count(x.state, -1)
 		m.count(r.State, 1)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -26,6 +26,9 @@
 	timer   *net.Timer
 	members time.Duration // when the group's members were looked at last
 	said    uint64        // words on whom to doubt
+	// news is what the machine counted when it was published last, if it was.
+	news      uint64
+	published bool
 
 	mu   sync.Mutex
 	list map[uint64]membership.Belief
@@ -51,7 +54,7 @@
 		return
 	}
 	b.timer.Stop()
-	b.policy, b.machine = p, nil
+	b.policy, b.machine, b.published = p, nil, false
 	b.publish(consensus.Boottime())
 	if !on {
 		return
@@ -134,6 +137,13 @@
 
 // publish has what is believed be there for others, and tells the duties whom to doubt.
 func (b *beliefs) publish(now time.Duration) {
+	// Most messages bring nothing new, and the loop has jobs to see to.
+	if b.machine != nil && b.published && b.news == b.machine.News() {
+		return
+	}
+	if b.published = b.machine != nil; b.published {
+		b.news = b.machine.News()
+	}
 	list := map[uint64]membership.Belief{}
 	doubts := map[uint64]bool{}
 	if b.machine != nil {
