Wait for discovery's first list before serving by the configured one

Ruled out: lists that came late at nodes that had stayed up (the log of calls and lists shows theirs taken in the turn in which they came); a watch that was deaf. Logged on a copy: each node that came back at 28.77 s gave its core the list in its configuration (generation 0, 152 workers, discovery was at 5) and sent by it until its own turn to ask came, up to 5 s later. 43 of those workers had been removed 9 s before, and some were up again.

At fault: Front.Open told the core brain.Cached at once; firstAsk in brain spread first calls over the shortest deadline. Now a configured list is given to the core with discovery's first word (or after 8 s without any), first calls spread over a sixteenth of the shortest deadline, and requests that come before wait for half of it, and of their own, at most.

The tests' stand-in for discovery says now what the protocol says a watch begins with. TestManyAskInTurn looks each millisecond, and holds the last call to the shorter time.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,6 +30,8 @@
 	choices     = 3    // how many workers are asked for their loads
 	brief       = 16   // the part of its aim for which a job waits for their answers
 	many        = 8    // dispatchers that don't ask for the list at once
+	firstAsks   = 16   // the part of the shortest deadline over which they ask for it at their start
+	firstList   = 2    // the part of it, and of their own, for which requests wait for the first list
 	stale       = 2    // news older than so many of the shortest deadlines says nothing of a queue
 	tiny        = 1e-9 // keeps divisors off zero
 )
@@ -41,7 +43,7 @@
 	if b.set.Fleet < many {
 		return 0
 	}
-	return b.patience * time.Duration(b.set.Me) / time.Duration(b.set.Fleet)
+	return b.patience / firstAsks * time.Duration(b.set.Me) / time.Duration(b.set.Fleet)
 }
 
 // askAgain is the wait before the list is asked for again, longer each time. Hazards: without a
@@ -164,6 +166,10 @@
 func (b *Balancer) ask(now time.Duration, q *request) bool {
 	q.asked, q.heard, q.heldT = q.asked[:0], 0, now
 	q.start()
+	if q.holding = b.awaitsList(now, q); q.holding {
+		b.asking = append(b.asking, q)
+		return true
+	}
 	b.blind = b.set.ReportProbed && b.set.Limits.Probes &&
 		float64(len(b.workers))*b.watched > b.arrived*b.patience.Seconds()*stale
 	if !b.blind {
@@ -182,11 +188,20 @@
 	return q.holding
 }
 
+// awaitsList reports whether q waits for the first list of a dispatcher that has just started.
+//
+// Hazard: a process that comes back within seconds has clients who did not notice that it was gone. Their
+// requests come before the list does, and would all be refused.
+func (b *Balancer) awaitsList(now time.Duration, q *request) bool {
+	return b.started && !b.listed && now < b.startedAt+b.patience/firstList &&
+		now < q.came+(q.deadline-q.came)/firstList
+}
+
 // release places the requests that have heard from all asked, or have waited long enough.
 func (b *Balancer) release(now time.Duration) {
 	b.asking = keep(b.asking, func(q *request) bool {
 		wait := q.class.Aim / brief
-		if !q.over && q.heard < len(q.asked) && now-q.heldT < wait {
+		if !q.over && (b.awaitsList(now, q) || q.heard < len(q.asked) && now-q.heldT < wait) {
 			return true
 		}
 		if q.holding = false; q.over {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1437,7 +1437,7 @@
 			began := r.now
 			r.members(Cached)
 			for r.watch == 0 {
-				r.pass(10 * time.Millisecond)
+				r.pass(time.Millisecond)
 			}
 			asked[r.now-began]++
 			last = max(last, r.now-began)
@@ -1446,9 +1446,46 @@
 			t.Errorf("of %d dispatchers one waits for %v", fleet, last)
 		}
 		for at, n := range asked {
-			if fleet >= many && (n > 1 || at > testSettings().Classes[0].Deadline) {
+			if fleet >= many && (n > 1 || at > testSettings().Classes[0].Deadline/firstAsks) {
 				t.Errorf("%d of %d dispatchers ask after %v", n, fleet, at)
 			}
 		}
 	}
 }
+
+// Requests that come before the first list wait for it, but only for a part of their time.
+func TestRequestsWaitForTheFirstList(t *testing.T) {
+	set := testSettings()
+	set.MustAsk = true
+	r := newRecorder(t, set)
+	r.members(Cached)
+	early := job(0, 0)
+	r.request(early)
+	r.pass(100 * time.Millisecond)
+	if got := r.reqs[early.ID].final; got != "" || len(r.sends) != 0 {
+		t.Fatalf("before the list: %q, %d sends", got, len(r.sends))
+	}
+	r.members(Whole, fleet(3)...)
+	if len(r.sends) != 1 {
+		t.Fatalf("%d sends with the list there", len(r.sends))
+	}
+
+	r = newRecorder(t, set)
+	r.members(Cached)
+	late := job(0, 0)
+	late.Left = time.Second
+	r.request(late)
+	r.pass(late.Left/firstList + 100*time.Millisecond)
+	if got := r.reqs[late.ID].final; got != "refused" {
+		t.Errorf("after half of its time without a list: %q", got)
+	}
+	left := job(1, 0)
+	r = newRecorder(t, set)
+	r.members(Cached)
+	r.request(left)
+	r.b.Gone(r.now, left.ID)
+	r.members(Whole, fleet(3)...)
+	if len(r.sends) != 0 {
+		t.Error("a request whose client has left is sent once the list is there")
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -115,41 +115,43 @@
 
 // Balancer decides for one dispatcher. It is made by New.
 type Balancer struct {
-	set      Settings
-	act      Actions
-	rng      *rand.Rand
-	workers  []*worker // by ID
-	byID     map[WorkerID]*worker
-	open     map[RequestID]*request
-	list     []*request // the same requests, in a repeatable order
-	free     []*request
-	asking   []*request // those that wait for loads
-	draw     []*worker  // room for pick
-	loads    []kindLoad
-	slots    []float64 // by kind: the most free slots that a worker has reported
-	paces    []float64 // by kind: running times over the usual ones
-	usual    []float64 // by class: the usual running time, in seconds
-	mean     float64   // the usual running time over all jobs
-	tallies  []tally   // by class
-	tenants  []allowance
-	arrived  float64       // requests lately
-	blind    bool          // news of workers is too old to go by
-	watched  float64       // seconds that asked of tenants goes back, faded alike
-	values   []float64     // room for rate
-	wait     float64       // seconds that jobs of ours have waited lately
-	waitT    time.Duration // when that was
-	crowd    float64       // the share of our jobs that have met a wait lately
-	ratio    float64       // running time over hint, as usual
-	surveyed time.Duration // when the averages were last brought up to date
-	patience time.Duration // the shortest deadline of a class
-	started  bool
-	asks     int           // failed calls for the list in a row
-	owing    int           // workers that are owed a job
-	refused  int           // requests refused since the last log line
-	failed   int           // requests failed since
-	logged   time.Duration // when that was
-	taken    recent        // requests, for the budget of further attempts
-	further  recent        // attempts beyond the first of a request, for the same
+	set       Settings
+	act       Actions
+	rng       *rand.Rand
+	workers   []*worker // by ID
+	byID      map[WorkerID]*worker
+	open      map[RequestID]*request
+	list      []*request // the same requests, in a repeatable order
+	free      []*request
+	asking    []*request // those that wait for loads
+	draw      []*worker  // room for pick
+	loads     []kindLoad
+	slots     []float64 // by kind: the most free slots that a worker has reported
+	paces     []float64 // by kind: running times over the usual ones
+	usual     []float64 // by class: the usual running time, in seconds
+	mean      float64   // the usual running time over all jobs
+	tallies   []tally   // by class
+	tenants   []allowance
+	arrived   float64       // requests lately
+	blind     bool          // news of workers is too old to go by
+	watched   float64       // seconds that asked of tenants goes back, faded alike
+	values    []float64     // room for rate
+	wait      float64       // seconds that jobs of ours have waited lately
+	waitT     time.Duration // when that was
+	crowd     float64       // the share of our jobs that have met a wait lately
+	ratio     float64       // running time over hint, as usual
+	surveyed  time.Duration // when the averages were last brought up to date
+	patience  time.Duration // the shortest deadline of a class
+	started   bool
+	startedAt time.Duration
+	listed    bool          // a list has come
+	asks      int           // failed calls for the list in a row
+	owing     int           // workers that are owed a job
+	refused   int           // requests refused since the last log line
+	failed    int           // requests failed since
+	logged    time.Duration // when that was
+	taken     recent        // requests, for the budget of further attempts
+	further   recent        // attempts beyond the first of a request, for the same
 }
 
 // New makes the balancer of one dispatcher. The same seed and events give the same actions.
@@ -216,7 +218,7 @@
 // Members takes news of the list of workers.
 func (b *Balancer) Members(now time.Duration, kind ListKind, list []Worker) {
 	if !b.started {
-		b.started, b.surveyed = true, now
+		b.started, b.startedAt, b.surveyed = true, now, now
 		b.act.After(b.sweepEvery(), sweepToken)
 		switch wait := b.firstAsk(); {
 		case b.set.MustAsk && wait > 0:
@@ -233,6 +235,7 @@
 	if kind != Cached {
 		b.asks = 0
 	}
+	b.listed = b.listed || kind != Cached || len(list) > 0
 	if kind != Changes {
 		for _, w := range b.workers {
 			w.State = Removed
@@ -243,6 +246,9 @@
 	}
 	b.prune()
 	b.settle()
+	if kind != Cached {
+		b.release(now)
+	}
 }
 
 // Owe takes word that operators have put a worker back which they had taken out. It was
--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -124,6 +124,7 @@
 	file    string      // the configuration
 	config  string      // what it holds
 	left    chan bool   // where it is set, a DELETE is not answered; closed when the node hangs up
+	confirm *string     // what a watch says first; nil: nothing
 	// first is called for each request to a next hop; true: that was all.
 	first func(http.ResponseWriter, *http.Request) bool
 }
@@ -154,10 +155,23 @@
 	return newWorldAt(t, filepath.Join(t.TempDir(), "config.json"), hops, do, args...)
 }
 
+// unchanged is a watch's word that nothing has changed since the list that the node has.
+var unchanged = ""
+
+// newWorldSaying is newWorld with what a watch says first; nil: nothing.
+func newWorldSaying(t *testing.T, first *string, hops int, do func(n int, s seen, rw http.ResponseWriter)) *world {
+	return startWorld(t, filepath.Join(t.TempDir(), "config.json"), first, hops, do)
+}
+
 // newWorldAt is newWorld with the platform's file at a path that the arguments may lead to.
 func newWorldAt(t *testing.T, file string, hops int, do func(n int, s seen, rw http.ResponseWriter),
 	args ...string) *world {
-	w := &world{t: t, addr: freeAddress(t), watches: make(chan *watch, 16)}
+	return startWorld(t, file, &unchanged, hops, do, args...)
+}
+
+func startWorld(t *testing.T, file string, first *string, hops int,
+	do func(n int, s seen, rw http.ResponseWriter), args ...string) *world {
+	w := &world{t: t, addr: freeAddress(t), watches: make(chan *watch, 16), confirm: first}
 	known := []string{}
 	for i := range hops {
 		h := &hop{w: w, name: fmt.Sprintf("s-%04d", i), do: do}
@@ -220,6 +234,9 @@
 	watch := &watch{line: make(chan string, 16), path: r.URL.String()}
 	w.watches <- watch
 	rw.WriteHeader(200)
+	if w.confirm != nil {
+		fmt.Fprintln(rw, *w.confirm)
+	}
 	rw.(http.Flusher).Flush()
 	for {
 		select {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -289,6 +289,9 @@
 		if err == io.EOF { // what is left is blank: nothing has changed
 			used = len(c.text)
 			c.alive()
+			if c == c.dir.watch {
+				c.dir.front.start.confirm()
+			}
 			break
 		}
 		if err == io.ErrUnexpectedEOF && !whole {
@@ -329,6 +332,7 @@
 }
 
 func (d *directory) take(set *routeSet) {
+	d.front.start.release()
 	kind := brain.Changes
 	if set.Reset {
 		kind = brain.Whole
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -33,6 +33,7 @@
 	cut     int    // the list is cut after so many bytes; 0: it is whole
 	calls   int    // for the whole list
 	watches int
+	hosts   []string      // where further workers listen, that are s-2 and so on
 	ends    chan struct{} // closed: the watches that are open end
 }
 
@@ -53,9 +54,13 @@
 func (a *agent) turn(state string) { a.do(func() { a.state, a.gen = state, a.gen+1 }) }
 
 func (a *agent) list() string {
-	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1",`+
-		`"hostPort":"127.0.0.9:9","zone":"z","machineType":"k","cell":1,"lifecycle":%q,"weight":1,`+
-		`"startedAtMs":0}]}`, a.gen, a.state)
+	const format = `{"instanceId":"s-%d","hostPort":%q,"zone":"z","machineType":"k","cell":1,` +
+		`"lifecycle":%q,"weight":1,"startedAtMs":0}`
+	lines := []string{fmt.Sprintf(format, 1, "127.0.0.9:9", a.state)}
+	for i, host := range a.hosts {
+		lines = append(lines, fmt.Sprintf(format, i+2, host, "SERVING"))
+	}
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, a.gen, strings.Join(lines, ","))
 }
 
 func (a *agent) serve(w http.ResponseWriter, r *http.Request) {
@@ -96,6 +101,9 @@
 		a.do(func() {
 			if !a.deaf && told < a.gen {
 				line, told = a.list(), a.gen
+				if a.say != "" {
+					line = a.say
+				}
 			}
 		})
 		fmt.Fprint(w, line)
@@ -155,6 +163,7 @@
 	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,`+
 		`"settings":{"fleet_size":1,"kinds":["k"],"zones":["z"],"membership_mode":%q,`+
 		`"classes":[{"name":"c","effect":"retryable","give_up":5000000000,"slo":4000000000}],`+
+		`"limits":{"try_limit":3,"cancel":true,"connect_timeout":3000000000},`+
 		`"contract":{"drain_grace":%d,"ask_every":10000000000}}}`,
 		a.Listener.Addr(), a.list(), mode, grace.Nanoseconds())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -321,3 +330,40 @@
 		}
 	})
 }
+
+// The list in the configuration may be long past: nothing is known by it until discovery has spoken.
+func TestConfiguredListWaitsForDiscovery(t *testing.T) {
+	for _, mode := range []string{"on_request", "pushed"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			a := newAgent(t)
+			a.deaf, a.mute = true, true
+			f := follower(t, mode, a)
+			stays(t, f, "")
+			if ready := f.healthy(); ready {
+				t.Error("ready with a list that nobody has confirmed")
+			}
+			a.do(func() { a.state, a.gen, a.deaf = "DRAINING", a.gen+1, false })
+			turns(t, f, "DRAINING", 20*grace)
+			if ready := f.healthy(); !ready {
+				t.Error("not ready with the list of discovery")
+			}
+		})
+	}
+}
+
+// A watch that says only that nothing has changed confirms the configured list.
+func TestConfiguredListIsConfirmedByABeat(t *testing.T) {
+	t.Parallel()
+	a := newAgent(t)
+	a.say = "\n"
+	f := follower(t, "on_request", a)
+	turns(t, f, "SERVING", 20*grace)
+}
+
+// healthy is what clients are told who ask after the front's health.
+func (f *Front) healthy() bool {
+	got := make(chan error, 1)
+	f.loop.Post(func() { got <- f.Ready() })
+	return <-got == nil
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -43,6 +43,7 @@
 	account  string         // the header that names a job's account; empty: none does
 	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
+	start    startList
 	brokeAt  time.Duration // when a kept connection to a next hop last broke under a request
 }
 
@@ -55,6 +56,7 @@
 	f.lines, f.relays.waiting = map[string]line{}, map[uint64]*client{}
 	f.counts.Classes = make([]figures.Class, len(cfg.Settings.Classes))
 	f.dir = newDirectory(f)
+	f.start.front = f
 	return f
 }
 
@@ -64,7 +66,7 @@
 // Open gives the core what is known of the next hops and begins to listen.
 func (f *Front) Open(c *core.Core) error {
 	f.core = c
-	f.tell(brain.Cached, &f.cfg.Known)
+	f.start.begin()
 	var err error
 	f.listener, err = f.loop.Listen(f.cfg.Listen, f.limits(), f.accept)
 	f.dir.open()
