Count requests in a cold worker's budget, and not only their work

The worker that fell had 7 to 16 requests in that second, with 0.4 to 2.5 slot-seconds of work by their hints together, where the budget was 4 and more: work here varies with a factor of two and more around its mean, and most requests are far smaller. The rule counts requests of mean work. So ten requests of a twentieth of the mean each were let through as half of one.

At fault: coldRoom counted the hints' work alone. It counts both now: work, and requests of the mean work of late.

A slower warm-up is the price; whether it can be less comes next.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -570,7 +570,10 @@
 	n := float64(b.set.Fleet)
 	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two turns beside the steady parts of all others
 	windows, used := 1, steady
-	for part*used*float64(windows) < work {
+	// Hazard: a cold worker bears so many usual requests, and so much work. Where most requests are far smaller
+	// than the mean, a budget in work alone lets several times that number through.
+	mean := b.meanEffort()
+	for part*used*float64(windows) < max(work, mean) {
 		if windows >= b.set.Fleet {
 			return false
 		}
@@ -579,13 +582,14 @@
 	if (int((now-w.Since)/rules.Fall)+int(w.ID)+b.set.Me)%windows != 0 {
 		return false
 	}
-	sum := work
+	sum, number := work, 1.0
 	for _, l := range w.sent {
 		if now-l.at < rules.Fall*time.Duration(windows) {
 			sum += l.work
+			number++
 		}
 	}
-	return part > 0 && sum <= part*used*float64(windows)
+	return part > 0 && max(sum, number*mean) <= part*used*float64(windows)
 }
 
 // warmRate is the work that a warm worker of kind k finishes from this dispatcher each second.
@@ -623,6 +627,9 @@
 // jobs are taken to be is more than the same jobs after it: a budget from then would be too large.
 func (b *Balancer) effort(q *request) float64 { return b.cost(q) / max(b.ratio, tiny) }
 
+// meanEffort is the work of a usual request of late.
+func (b *Balancer) meanEffort() float64 { return b.efforts / max(b.arrived, tiny) }
+
 // size is what q takes of a worker: its slots, or its memory where that is more.
 func (q *request) size() float64 { return max(q.Slots, q.Memory, 1) }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -404,6 +404,26 @@
 	}
 }
 
+// Rule 4 counts requests: a cold worker's budget for requests far smaller than the mean is no more of them
+// than of usual ones, and for one far larger than the mean it is in its work.
+func TestColdBudgetCountsRequests(t *testing.T) {
+	allowed := func(work float64) (n int) {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		r.b.loads[0].add(400, 100, false) // a warm worker finishes the work of four usual requests a second
+		r.b.arrived, r.b.efforts = 100, 100
+		r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+		w := r.b.byID[200]
+		for now := r.now + r.set.Rules.Cold/2; r.b.coldRoom(now, w, work); n++ {
+			w.sent = append(w.sent, load{now, work})
+		}
+		return n
+	}
+	if small, usual, large := allowed(0.02), allowed(1), allowed(3); usual == 0 || small != usual || large*3 > usual {
+		t.Errorf("%d small ones, %d usual ones, %d of three times the mean", small, usual, large)
+	}
+}
+
 // Without any load seen, a cold worker's budget is nothing.
 func TestColdWorkerWithoutKnowledge(t *testing.T) {
 	r := newRecorder(t, testSettings())
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -9,6 +9,7 @@
 	Loads, Full, Tallies [][2]float64 // Full is the part of Loads at full workers; an older process has none
 	Slots, Paces, Usual  []float64
 	Mean, Ratio, Arrived float64
+	Efforts              float64 // of the arrived; an older process has none
 	Watched, Wait, Crowd float64
 	WaitT, Surveyed      time.Duration
 	Allowances           []Allowed
@@ -40,7 +41,7 @@
 // end one by one, and whoever recalls this is told of them by Beside.
 func (b *Balancer) Memory() Memory {
 	m := Memory{Slots: b.slots, Paces: b.paces, Usual: b.usual, Mean: b.mean, Ratio: b.ratio,
-		Arrived: b.arrived, Watched: b.watched, Wait: b.wait, Crowd: b.crowd, WaitT: b.waitT,
+		Arrived: b.arrived, Efforts: b.efforts, Watched: b.watched, Wait: b.wait, Crowd: b.crowd, WaitT: b.waitT,
 		Surveyed: b.surveyed, Workers: make(map[WorkerID]WorkerMemory, len(b.workers))}
 	for _, l := range b.loads {
 		m.Loads = append(m.Loads, [2]float64{l.work, l.seconds})
@@ -89,7 +90,8 @@
 		for i, t := range m.Tallies {
 			b.tallies[i] = tally{t[0], t[1]}
 		}
-		b.mean, b.ratio, b.arrived, b.watched = m.Mean, m.Ratio, m.Arrived, m.Watched
+		b.mean, b.ratio, b.watched = m.Mean, m.Ratio, m.Watched
+		b.arrived, b.efforts = m.Arrived, m.Efforts
 		b.wait, b.waitT, b.crowd, b.surveyed = m.Wait, min(m.WaitT, now), m.Crowd, min(m.Surveyed, now)
 	}
 	if len(m.Allowances) == len(b.tenants) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -133,6 +133,7 @@
 	tallies   []tally   // by class
 	tenants   []allowance
 	arrived   float64       // requests lately
+	efforts   float64       // and their work, by the hints' measure
 	blind     bool          // news of workers is too old to go by
 	watched   float64       // seconds that asked of tenants goes back, faded alike
 	values    []float64     // room for rate
@@ -290,6 +291,7 @@
 		b.taken = append(b.taken, now)
 		b.tallies[q.Class].asked += b.units(q)
 		b.arrived++
+		b.efforts += b.effort(q)
 		b.claim(now, q)
 		if b.place(now, q); !b.blind {
 			b.askLoads(now)
@@ -628,6 +630,7 @@
 		b.tenants[i].asked *= by
 	}
 	b.arrived *= by
+	b.efforts *= by
 	b.watched *= by
 }
 
