Look at client, worker and time when a request is written, not when its attempt begins

It is worded when it is written, with 10 ms or a tenth kept back, since a stall of 0.15 s would use up all of the slack. - A worker that drained while a connection to it came up got the request all the same. - A client that left while the loop was held up had a further attempt sent on a kept connection, where that attempt's cause lay before its end in the batch: its connection is polled before each write (Core.Wanted, Conn.PeerClosed). - A request sent ahead of an answer counted its time from when its turn came; it does from when it came. - While a node ends, an answer closed the connection over requests that had been read behind it (client.leave). - With no room for what a client sends ahead, its connection was ended under the request that was worked on (Conn.read). - The end of a client was not heard behind 256 KiB that it had sent ahead. - An idle connection was closed for a new one with a request in the kernel's buffer (Listener.least). - The process ended with connections not accepted yet, just opened, or whose last answer was on its way (finish). - After a long outage the list was asked for again up to 15 s later; all counts as told after 6 s.

No test was changed but the stand-in of discovery's (workers).

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1509,3 +1509,24 @@
 		t.Error("a request whose client has left is sent once the list is there")
 	}
 }
+
+// However long the list's service was down, the list is asked for soon enough that nothing it has to tell
+// when it is back is missed: that counts as told 6 s later.
+func TestListIsAskedForAfterALongOutage(t *testing.T) {
+	for _, fleet := range []int{1, many, 300} {
+		set := testSettings()
+		set.MustAsk, set.Fleet = true, fleet
+		r := newRecorder(t, set)
+		r.members(Cached)
+		for range 40 {
+			asked, began := r.watch, r.now
+			r.members(Failed)
+			for r.watch == asked {
+				r.pass(10 * time.Millisecond)
+			}
+			if waited := r.now - began; waited > longestAsk+20*time.Millisecond {
+				t.Fatalf("one of %d dispatchers waits for %v", fleet, waited)
+			}
+		}
+	}
+}
--- a/cmd/moorstack/endings_test.go
+++ b/cmd/moorstack/endings_test.go
@@ -1,10 +1,49 @@
 package main
 
 import (
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
 
+// A client has sent a request ahead of the answer to the one before it when the node is told to end. Both
+// have been read, and both are answered; the last answer closes the connection.
+func TestRequestSentAheadOfTheEnd(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, func(_ int, _ seen, rw http.ResponseWriter) { rw.WriteHeader(202) })
+	idle := w.dial().send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+	idle.want(200, "")
+	c := w.dial().send(job("a", "book", "4000m", "x") + job("b", "book", "4000m", "x"))
+	eventually(t, "the first job is out", func() bool { return w.calls("POST") == 1 })
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(700 * time.Millisecond) // from half a second on answers close their connections
+	w.callBack("a", w.hops[0].name, "done", "first")
+	if resp := c.want(200, "first"); resp.Close {
+		t.Error("the first answer closes the connection under the second request")
+	}
+	eventually(t, "the second job is out", func() bool { return w.calls("POST") == 2 })
+	w.mu.Lock()
+	told, err := time.ParseDuration(strings.Replace(w.hops[0].got[1].header.Get("X-Timeout"), "u", "us", 1))
+	w.mu.Unlock()
+	if check(t, err); told > 4*time.Second-600*time.Millisecond {
+		t.Errorf("the worker is told of %v, of a request that was sent over 0.7 s before with 4 s", told)
+	}
+	w.callBack("b", w.hops[0].name, "done", "second")
+	if resp := c.want(200, "second"); !resp.Close {
+		t.Error("the last answer does not close the connection")
+	}
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+	c.Close()
+	if err := w.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A process that comes back has the list of its configuration, which may be long past: until discovery has
 // spoken it is not ready, and requests wait for the list and go by it.
 func TestRequestBeforeTheFirstList(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,6 +51,12 @@
 // Client waits for one transaction's final answer and is told exactly once.
 type Client interface{ Answer(Answer) }
 
+// Leaver is a Client that can tell whether it has left before its front has been told.
+//
+// Hazard: the process is held up, or has much to do, and a client's end lies unread while an attempt is
+// begun for it.
+type Leaver interface{ HasLeft() bool }
+
 // Transaction is a job that a client has handed in.
 type Transaction struct {
 	ID     string
@@ -282,6 +288,24 @@
 	})
 }
 
+// Wanted says whether a branch may still be sent: it has not ended, its worker takes work, and its client has
+// not left.
+func (c *Core) Wanted(id slots.ID) bool {
+	b, ok := c.branches.Get(id)
+	if !ok || b.hop.gone || c.over(b.hop.name, b.hop.listed).State != brain.Ready {
+		return false
+	}
+	return c.stays(b.t) && !b.ended
+}
+
+// stays says whether a transaction's client still waits. One that has left is given up.
+func (c *Core) stays(t *transaction) bool {
+	if l, ok := t.client.(Leaver); ok && l.HasLeft() {
+		c.Gone(t.ID)
+	}
+	return t.client != nil
+}
+
 // End tells the end of a branch. One that has ended already stays as it ended.
 func (c *Core) End(id slots.ID, res brain.Result, result []byte, report brain.Report) {
 	if b, ok := c.branches.Get(id); ok {
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -84,6 +84,7 @@
 	fds     []int
 
 	connecting, closed, closing bool
+	starved                     bool // there was no room for what it sends ahead
 	events                      uint32
 	lost                        int // output that the kernel had not taken at the end
 	ignored                     int // input that came after Finish
@@ -171,13 +172,16 @@
 
 // Idle says that the message is done with: the connection may be shed from here on.
 func (c *Conn) Idle() {
+	c.starved = false
 	if c.standing = idle; c.closing {
 		c.standing = leaving
 	}
-	c.heard = c.loop.Now()
-	if c.mid > 0 {
+	if c.mid == 0 {
+		c.heard = c.loop.Now()
+	} else {
 		c.mind()
 	}
+	c.update()
 	if c.from != nil {
 		c.from.pause(false) // it can be shed now for one that waits
 	}
@@ -223,6 +227,9 @@
 // Connecting says that the connection is not up yet.
 func (c *Conn) Connecting() bool { return c.connecting }
 
+// Heard is when something came last, or when the last message was done with if nothing waits.
+func (c *Conn) Heard() time.Duration { return c.heard }
+
 // Closed says that the connection has ended, from whichever side.
 func (c *Conn) Closed() bool { return c.closed }
 
@@ -267,6 +274,18 @@
 	return n > 0
 }
 
+// PeerClosed looks whether the peer has closed the connection, without waiting for the loop to tell and
+// whatever input lies before the end.
+func (c *Conn) PeerClosed() bool {
+	if c.closed {
+		return true
+	}
+	const ends = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	state := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(state, 0)
+	return err == nil && n > 0 && state[0].Revents&ends != 0
+}
+
 // Stale looks whether a connection that should be idle has ended, or holds
 // something unasked for, without waiting for the loop to tell.
 func (c *Conn) Stale() bool {
@@ -285,6 +304,9 @@
 		return
 	}
 	c.lost, c.closed = c.Unsent(), true
+	if c.closing && c.from != nil {
+		c.from.lingering--
+	}
 	c.loop.sources.Remove(c.id)
 	unix.Close(c.fd) // leaves the epoll set, too
 	for _, fd := range c.fds {
@@ -302,6 +324,9 @@
 // Finish ends the connection once its output is sent: writing first, so that
 // input which has not been read does not make the kernel drop the answer.
 func (c *Conn) Finish() {
+	if c.from != nil && !c.closing && !c.closed {
+		c.from.lingering++
+	}
 	c.closing, c.standing = true, leaving
 	c.timer.Stop()
 	c.Use(c.mid)
@@ -320,8 +345,8 @@
 	switch {
 	case c.connecting || c.Unsent() > 0:
 		return unix.EPOLLOUT
-	case c.Full():
-		return 0
+	case c.Full() || c.standing == taken && c.starved:
+		return unix.EPOLLRDHUP // hazard: unheard, an end would keep its message in work
 	}
 	return unix.EPOLLIN | unix.EPOLLRDHUP
 }
@@ -351,6 +376,8 @@
 		}
 	}
 	switch {
+	case events&unix.EPOLLRDHUP != 0 && c.events&unix.EPOLLIN == 0:
+		c.end(io.EOF) // what lies before the end is not read: nobody waits for what would come of it
 	case events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0:
 		c.read()
 	case events&(unix.EPOLLERR|unix.EPOLLHUP) != 0:
@@ -378,6 +405,12 @@
 	if cap(c.buf)-c.mid < 1024 {
 		room := max(2048, 2*cap(c.buf))
 		if c.from != nil && !c.from.fit(room-cap(c.buf), c) {
+			if c.standing == taken {
+				// Hazard: its message is worked on, and is owed an answer. What it sends ahead waits.
+				c.starved = true
+				c.update()
+				return
+			}
 			c.end(errShed)
 			return
 		}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -191,8 +191,10 @@
 	open   int
 	bytes  int // of its connections' buffers
 	paused bool
-	held   bool // paused for good, until Hold says otherwise
-	accept func(*Conn)
+	// lingering are the connections that Finish has begun to end.
+	lingering int
+	held      bool // paused for good, until Hold says otherwise
+	accept    func(*Conn)
 }
 
 // Listen accepts on the address. At a limit, a connection that is not worked on is shed
@@ -262,6 +264,16 @@
 	ln.pause(false)
 }
 
+// Lingering is the number of connections that are being ended: what was written last may still be on its way.
+func (ln *Listener) Lingering() int { return ln.lingering }
+
+// AcceptPending accepts what waits with the kernel now, in place of the next turn of the loop.
+func (ln *Listener) AcceptPending() {
+	if !ln.held && ln.fd >= 0 {
+		ln.ready(0)
+	}
+}
+
 // Open is the number of connections held.
 func (ln *Listener) Open() int { return ln.open }
 
@@ -280,6 +292,9 @@
 		if c.Unsent() > 0 && now-c.heard < slowest {
 			continue // an answer is on its way
 		}
+		if c.standing == idle && c.Pending() {
+			continue // hazard: a request that has come, and would be lost unread
+		}
 		if least == nil || c.standing < least.standing ||
 			c.standing == least.standing && c.heard < least.heard {
 			least = c
@@ -333,8 +348,13 @@
 			ln.pause(true)
 			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
 			return
-		default:
+		case broken(err):
 			continue // that connection broke before it was taken
+		default:
+			// Hazard: an error that stays, for the event is level-triggered, too.
+			ln.pause(true)
+			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
+			return
 		}
 		c, err := ln.loop.adopt(fd, false)
 		if err != nil {
@@ -351,6 +371,18 @@
 	}
 }
 
+// broken says that one connection broke before it was accepted, as Linux lists the errors.
+func broken(err error) bool {
+	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT, unix.ENETDOWN,
+		unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.ENETUNREACH, unix.EOPNOTSUPP, unix.ETIMEDOUT,
+		unix.EPERM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // scarce says that descriptors, or the kernel's memory, have run out.
 func scarce(err error) bool {
 	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -34,6 +34,7 @@
 	calls   int    // for the whole list
 	watches int
 	hosts   []string      // where further workers listen, that are s-2 and so on
+	drained bool          // those drain
 	ends    chan struct{} // closed: the watches that are open end
 }
 
@@ -57,8 +58,12 @@
 	const format = `{"instanceId":"s-%d","hostPort":%q,"zone":"z","machineType":"k","cell":1,` +
 		`"lifecycle":%q,"weight":1,"startedAtMs":0}`
 	lines := []string{fmt.Sprintf(format, 1, "127.0.0.9:9", a.state)}
+	state := "SERVING"
+	if a.drained {
+		state = "DRAINING"
+	}
 	for i, host := range a.hosts {
-		lines = append(lines, fmt.Sprintf(format, i+2, host, "SERVING"))
+		lines = append(lines, fmt.Sprintf(format, i+2, host, state))
 	}
 	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, a.gen, strings.Join(lines, ","))
 }
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -85,12 +85,17 @@
 // finish waits for the last answers to be written. The listener stays open until
 // then: next hops call back on it.
 //
-// Hazard: between two looks at a connection a request may have come on it.
+// Hazards: between two looks at a connection a request may have come on it; one may come on a connection
+// that waits to be accepted, or was just opened; an answer is on its way on a connection that is being
+// ended, and the end of the process would reset it.
 func (f *Front) finish(until time.Duration, done func()) {
-	busy := f.core.Waiting() > 0
+	f.listener.AcceptPending()
+	now := f.loop.Now()
+	busy := f.core.Waiting() > 0 || f.listener.Lingering() > 0
 	for c := range f.clients {
-		busy = busy || c.waits || c.conn.Unsent() > 0 ||
-			!c.hop && c.conn.Pending() && f.loop.Now() < until
+		fresh := !c.used && now < c.opened+drain.Notice
+		busy = busy || c.waits || c.relayed || c.conn.Unsent() > 0 ||
+			!c.hop && (c.conn.Pending() || fresh) && now < until
 	}
 	if busy {
 		f.loop.After(10*time.Millisecond, func() { f.finish(until, done) })
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -123,6 +123,7 @@
 
 var _ net.Handler = (*client)(nil)
 var _ core.Client = (*client)(nil)
+var _ core.Leaver = (*client)(nil)
 
 func (c *client) Up(*net.Conn) {}
 
@@ -229,6 +230,8 @@
 
 func (c *client) begin(m *net.Message, body []byte) {
 	t, d, err := c.front.transaction(m, body)
+	// Hazard: a request that was sent ahead has waited here for the answer to the one before it.
+	t.Left -= c.front.loop.Now() - c.conn.Heard()
 	c.rule = ""
 	if d.Rule != nil {
 		c.rule = d.Rule.Name
@@ -386,8 +389,11 @@
 	c.respond(503, extra, nil)
 }
 
-// leave has the connection end after the answer that comes now, if clients are sent away.
-func (c *client) leave() { c.last = c.last || c.front.drain.State() == drain.Closing }
+// leave has the connection end after the answer that comes now, if clients are sent away. Hazard: what the
+// client has sent ahead has been read, and would be closed unanswered.
+func (c *client) leave() {
+	c.last = c.last || c.front.drain.State() == drain.Closing && !c.conn.Pending()
+}
 
 // closeIfIdle closes a client's connection that stands between two requests. Hazard: a
 // request that has come and was not read is in the kernel's buffer, and would be lost.
@@ -414,6 +420,9 @@
 	}
 }
 
+// HasLeft says whether the client has closed its connection, told or not.
+func (c *client) HasLeft() bool { return c.conn.PeerClosed() }
+
 func (c *client) gone() {
 	delete(c.front.clients, c)
 }
--- a/internal/platform/nexthop.go
+++ b/internal/platform/nexthop.go
@@ -52,6 +52,8 @@
 	busy    bool
 	kept    bool // the connection has carried a request before this one
 	broke   bool // it ended without a byte of an answer
+	// compose words the request when the connection can take it; nil: nobody waits for it any more.
+	compose func() []byte
 	// done is told once: the answer, or nil and whether the request never went out whole.
 	done func(m *net.Message, body []byte, unsent bool)
 }
@@ -60,7 +62,10 @@
 
 // send writes a request on an idle connection or, if it must be fresh or there is none,
 // on a new one. An attempt is counted once the kernel has the whole of it.
-func (h *nextHop) send(request []byte, fresh, attempt bool,
+//
+// Hazard: a new connection may come up late. What the request says of time must be true when it is
+// written, and its client may have left meanwhile.
+func (h *nextHop) send(compose func() []byte, fresh, attempt bool,
 	done func(*net.Message, []byte, bool)) *exchange {
 	var x *exchange
 	for !fresh && len(h.idle) > 0 && x == nil {
@@ -87,22 +92,45 @@
 	} else {
 		x.kept = true
 	}
-	x.busy, x.done = true, done
+	x.busy, x.compose, x.done = true, compose, done
 	if x.conn.Sent = nil; attempt {
 		x.conn.Sent = func() { h.front.counts.Forwards++ }
 	}
-	x.conn.Write(request)
+	if x.kept {
+		x.write()
+	}
 	return x
 }
 
+// write sends the request, unless nobody waits for it any more.
+func (x *exchange) write() {
+	request := x.compose()
+	switch {
+	case !x.busy: // it was given up meanwhile
+	case request == nil:
+		x.conn.Sent = nil
+		x.drop()
+	default:
+		x.conn.Write(request)
+	}
+}
+
+// drop ends the exchange of a request that was never written.
+func (x *exchange) drop() {
+	done := x.done
+	x.close()
+	done(nil, nil, true)
+}
+
 // ask sends what does no harm twice, and so once more on a new connection if a kept one
 // breaks under it: that tells of the connection, not of the next hop. It returns what
 // ends the call without telling.
 func (h *nextHop) ask(request []byte, done func(*net.Message, []byte, bool)) (end func()) {
 	var x *exchange
-	x = h.send(request, false, false, func(m *net.Message, body []byte, unsent bool) {
+	compose := func() []byte { return request }
+	x = h.send(compose, false, false, func(m *net.Message, body []byte, unsent bool) {
 		if m == nil && x != nil && x.kept && x.broke {
-			x = h.send(request, true, false, done)
+			x = h.send(compose, true, false, done)
 			return
 		}
 		done(m, body, unsent)
@@ -131,7 +159,10 @@
 }
 
 // Up ends the wait for the connection.
-func (x *exchange) Up(*net.Conn) { x.timer.Stop() }
+func (x *exchange) Up(*net.Conn) {
+	x.timer.Stop()
+	x.write()
+}
 
 // Data reads the answer.
 func (x *exchange) Data(*net.Conn) {
@@ -245,15 +276,8 @@
 
 // Start sends a job.
 func (h *nextHop) Start(b core.Branch) core.Running {
-	j := b.Job.(*job)
-	left := max(b.Limit-h.front.loop.Now(), time.Microsecond)
-	extra := fmt.Sprintf("X-Request-ID: %s\r\nX-Timeout: %du\r\n", b.Name, left.Microseconds())
-	if j.key != "" {
-		extra += "Idempotency-Key: " + j.key + "\r\n"
-	}
 	br := &branch{hop: h, job: b.Name}
-	request := net.AppendRequest(nil, "POST", j.target, h.address, extra, j.body)
-	br.x = h.send(request, h.front.mistrusts(), true,
+	br.x = h.send(func() []byte { return h.attempt(b) }, h.front.mistrusts(), true,
 		func(m *net.Message, body []byte, unsent bool) {
 			br.timer.Stop()
 			if m != nil && m.Status == 202 {
@@ -273,6 +297,25 @@
 	return br
 }
 
+// reserve is what is taken off the time that a worker is told of: it reads the request a little later, its
+// answer takes its way back, and the process may be held up before it writes. It is a tenth at most.
+const reserve = 10 * time.Millisecond
+
+// attempt words the request of a branch as of now; nil: its client has left, or its time is up.
+func (h *nextHop) attempt(b core.Branch) []byte {
+	left := b.Limit - h.front.loop.Now()
+	left -= min(reserve, left/10)
+	if left <= 0 || !h.front.core.Wanted(b.ID) {
+		return nil
+	}
+	j := b.Job.(*job)
+	extra := fmt.Sprintf("X-Request-ID: %s\r\nX-Timeout: %du\r\n", b.Name, max(left.Microseconds(), 1))
+	if j.key != "" {
+		extra += "Idempotency-Key: " + j.key + "\r\n"
+	}
+	return net.AppendRequest(nil, "POST", j.target, h.address, extra, j.body)
+}
+
 // resultOf is the protocol's table of what comes back. Only what proves that the
 // job never ran may say so.
 func resultOf(m *net.Message, unsent bool) brain.Result {
