--- /dev/null
+++ b/brain/slowstart.go
@@ -0,0 +1,109 @@
+package brain
+
+// Decisions: how much a worker that has just started is given.
+
+import (
+	"time"
+)
+
+// warmth is the share of its capacity that w has at least, by its age.
+func (b *Balancer) warmth(now time.Duration, w *worker) float64 {
+	r := &b.set.Rules
+	if w.Since <= 0 || now-w.Since >= r.Cold {
+		return 1
+	}
+	age := float64(max(now-w.Since, 0)) / float64(r.Cold)
+	return max(r.ColdShare+(1-r.ColdShare)*age, tiny)
+}
+
+// coldRoom reports whether a cold worker's budget has room for work.
+//
+// Hazard: a cold worker reads zero at every dispatcher and is pushed over. What it can do now is taken
+// as its share, by age, of the load from this dispatcher that warm workers of its kind finish; all
+// dispatchers together keep to the whole. Without anything to go by the budget is nothing.
+func (b *Balancer) coldRoom(now time.Duration, w *worker, work float64) bool {
+	rules, warmth := &b.set.Rules, b.warmth(now, w)
+	if warmth == 1 || rules.OverloadFactor <= 0 || rules.Fall <= 0 {
+		return true
+	}
+	part := rules.OverloadFactor * warmth * b.warmRate(w.Kind) * rules.Fall.Seconds()
+	// Hazard: the part of one of many dispatchers is less than a job, and all leave the worker idle; or
+	// they save their parts up, and all send at once when other workers go. Such a job needs as many
+	// windows as make the part large enough, and goes only in this dispatcher's turn among as many, by the
+	// worker's age, which all know alike.
+	n := float64(b.set.Fleet)
+	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two turns beside the steady parts of all others
+	windows, used := 1, steady
+	// Hazard: a cold worker bears so many usual requests, and so much work. Where most requests are far smaller
+	// than the mean, a budget in work alone lets several times that number through.
+	mean := b.meanEffort()
+	for part*used*float64(windows) < max(work, mean) {
+		if windows >= b.set.Fleet {
+			return false
+		}
+		windows, used = min(2*windows, b.set.Fleet), (1-steady*(n-2)/n)/2
+	}
+	if (int((now-w.Since)/rules.Fall)+int(w.ID)+b.set.Me)%windows != 0 {
+		return false
+	}
+	sum, number := work, 1.0
+	for _, l := range w.sent {
+		if now-l.at < rules.Fall*time.Duration(windows) {
+			sum += l.work
+			number++
+		}
+	}
+	return part > 0 && max(sum, number*mean) <= part*used*float64(windows)
+}
+
+// warmRate is the work that a warm worker of kind k finishes from this dispatcher each second.
+//
+// Hazard: a release replaces every worker of a kind, and a dispatcher that starts then has no record of
+// it, nor a warm one to make it: all of them stay idle until warm. The kind that takes least stands in.
+func (b *Balancer) warmRate(k int) float64 {
+	if r := b.kindRate(k); r > 0 {
+		return r
+	}
+	least := 0.0
+	for i := range b.loads {
+		if r := b.kindRate(i); r > 0 && (least == 0 || r < least) {
+			least = r
+		}
+	}
+	return least // hazard: where nothing was seen of any kind, nothing
+}
+
+// kindRate is what this dispatcher has seen of kind k alone.
+//
+// Hazard: where warm ones are not full, what they take is less than they bear, and cold ones stand idle
+// while warm ones queue. What the full ones took counts more, the longer some were; all dispatchers'
+// parts of it add up to what they bear. What reports say of slots does not: slots may be more than cores.
+func (b *Balancer) kindRate(k int) float64 {
+	l := &b.loads[k]
+	rate := l.work / max(l.seconds, tiny)
+	return max(rate, (rate*doubt+l.fullWork)/(doubt+l.fullSeconds))
+}
+
+// cost is the work that a request is expected to be, in slot seconds.
+func (b *Balancer) cost(q *request) float64 { return b.expect(q) * q.size() }
+
+// effort is cost by the hints' own measure. Hazard: running times have waits in them, and so what a flood's
+// jobs are taken to be is more than the same jobs after it: a budget from then would be too large.
+func (b *Balancer) effort(q *request) float64 { return b.cost(q) / max(b.ratio, tiny) }
+
+// meanEffort is the work of a usual request of late.
+func (b *Balancer) meanEffort() float64 { return b.efforts / max(b.arrived, tiny) }
+
+// size is what q takes of a worker: its slots, or its memory where that is more.
+func (q *request) size() float64 { return max(q.Slots, q.Memory, 1) }
+
+// expect is the seconds that q is expected to run at the usual pace: by its hint, else by its class.
+func (b *Balancer) expect(q *request) float64 {
+	if q.Work > 0 && b.ratio > 0 {
+		return q.Work.Seconds() * b.ratio
+	}
+	if b.usual[q.Class] > 0 {
+		return b.usual[q.Class]
+	}
+	return b.mean
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,6 +1,7 @@
 package brain
 
-// What the module remembers, and the checking of its settings. No decisions: those are in brain.go.
+// What the module remembers, and the checking of its settings. No decisions: those are in files of their own,
+// which deploy/balancer.toml lists.
 
 import (
 	"cmp"
