Tell a worker's age from what was heard, and not from wall clocks that may be stepped

Found by going through each use of wall time in the node: startedAtMs is Unix time, and was set against the loop's clock, which is the wall clock of the process's start and monotonic since. After a step back of an hour a worker that starts is told as an hour old, and so as warm: slow start does not hold for it. After a step forward it stays cold for an hour. All other spans of the node are monotonic already (time.Since of time.Now, the loop's clock); looked at each.

A start that is told now lies after the last list without it (with 15 s for discovery's lag) and before now; of what the time means before and after a step of our own clock, the later that can be true is taken. Worker by worker it is remembered.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -233,10 +233,12 @@
 		clear(f.lines)
 	}
 	named := map[string]bool{}
+	now := f.loop.Now()
+	step := time.Duration(time.Now().UnixNano()) - now
 	for _, l := range set.Instances {
 		e := core.Entry{Name: l.ID, Cell: l.Cell, State: lifecycles[l.Lifecycle], Size: l.Weight,
 			Zone: indexOf(f.names.zones, l.Zone), Kind: indexOf(f.names.kinds, l.Kind),
-			Since: time.Duration(l.StartedMS) * time.Millisecond}
+			Since: f.starts.at(l.ID, time.Duration(l.StartedMS)*time.Millisecond, now, step)}
 		if e.State == brain.Removed {
 			f.remove(l.ID)
 			delete(f.lines, l.ID)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -291,6 +291,7 @@
 			c.alive()
 			if c == c.dir.watch {
 				c.dir.front.start.confirm()
+				c.dir.front.starts.confirm(c.dir.front.loop.Now())
 			}
 			break
 		}
@@ -338,6 +339,7 @@
 		kind = brain.Whole
 	}
 	d.front.tell(kind, set)
+	d.front.starts.confirm(d.front.loop.Now())
 }
 
 // over is the end of an answer: a list's right end, a watch's failure.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -44,6 +44,7 @@
 	routes   *routing.Table // nil: jobs go where brain will
 	dir      *directory
 	start    startList
+	starts   starts
 	brokeAt  time.Duration // when a kept connection to a next hop last broke under a request
 }
 
