Use half of what slow start's rule leaves for chance

Since requests are counted, a cold worker's budget is N in all nodes' parts, where the rule bears N + 2 root N + 2. Half of that root is used now: a part grows by one over the root of N. Where N is small, which is where most was lost, that is much.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -424,6 +425,70 @@
 	}
 }
 
+// Rule 4 over a whole fleet that sends a cold worker all that it may, at every moment: in no window does it
+// get more requests of mean work than N + 2 root N + 2 (N under 30: 3 root N + 3).
+func TestColdWorkerBesideAGreedyFleet(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 8, 32, 150} {
+		for _, allowed := range []float64{3, 12, 60} { // requests a window, of a warm worker
+			for _, uneven := range []bool{false, true} {
+				if most := greedy(t, size, allowed, uneven); most > 1 {
+					t.Errorf("%d dispatchers, N up to %v, uneven %v: %.2f of what the rule bears", size, allowed, uneven, most)
+				}
+			}
+		}
+	}
+}
+
+// greedy plays it and gives the fullest window, as a part of what the rule bears.
+func greedy(t *testing.T, size int, allowed float64, uneven bool) (most float64) {
+	set := testSettings()
+	set.Fleet = size
+	fall := set.Rules.Fall
+	cold := Worker{ID: 200, State: Ready, Size: 1}
+	var all []*recorder
+	total, shares := 0.0, make([]float64, size)
+	for i := range shares {
+		shares[i] = 1
+		if uneven {
+			shares[i] = 1 + float64(i*7%5)
+		}
+		total += shares[i]
+	}
+	for i := range size {
+		set.Me = i
+		r := newRecorder(t, set)
+		cold.Since = r.now
+		r.members(Whole, append(fleet(4), cold)...)
+		rate := allowed / fall.Seconds() / set.Rules.OverloadFactor * shares[i] / total
+		r.b.loads[0].add(rate*100, 100, false) // a usual request is one unit of work
+		r.b.arrived, r.b.efforts = 100, 100
+		all = append(all, r)
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	var sent []time.Duration
+	first := all[0]
+	for now := cold.Since; now < cold.Since+set.Rules.Cold; now += fall / 50 {
+		for _, i := range rng.Perm(size) {
+			b := all[i].b
+			w := b.byID[cold.ID]
+			for b.coldRoom(now, w, 1) {
+				w.sent = append(w.sent, load{now, 1})
+				sent = append(sent, now)
+			}
+		}
+		for len(sent) > 0 && sent[0] <= now-fall {
+			sent = sent[1:]
+		}
+		n := allowed * first.b.warmth(now, first.b.byID[cold.ID])
+		bears := n + 2*math.Sqrt(n) + 2
+		if n < 30 {
+			bears = n + 3*math.Sqrt(n) + 3
+		}
+		most = max(most, float64(len(sent))/bears)
+	}
+	return most
+}
+
 // Without any load seen, a cold worker's budget is nothing.
 func TestColdWorkerWithoutKnowledge(t *testing.T) {
 	r := newRecorder(t, testSettings())
--- a/brain/slowstart.go
+++ b/brain/slowstart.go
@@ -3,6 +3,7 @@
 // Decisions: how much a worker that has just started is given.
 
 import (
+	"math"
 	"time"
 )
 
@@ -37,6 +38,10 @@
 	// Hazard: a cold worker bears so many usual requests, and so much work. Where most requests are far smaller
 	// than the mean, a budget in work alone lets several times that number through.
 	mean := b.meanEffort()
+	if mean > 0 {
+		// The rule leaves twice the root of what it allows, and two, for chance: half of that is used.
+		part *= 1 + 1/math.Sqrt(max(part*n/mean, 1))
+	}
 	for part*used*float64(windows) < max(work, mean) {
 		if windows >= b.set.Fleet {
 			return false
