End repeats of keyed requests a stall before their window, and look again when one is written

Where a worker accepts and falls silent the repeat was decided at 0.8 s and written when its connection came up, up to 1.2 s after the first. Ruled out: another group (both workers of one zone), an attempt wrongly taken for one that never ran (it ended as a reset).

At fault: may() in brain compared the time of the decision with the window, and nobody looked when the request was written. Now repeats end 0.15 s before the window, for the process may be held up between its clock and its write, and a repeat whose connection came up late is looked at again (Balancer.StillAllowed, by Core.Wanted).

Tests: a repeat on a connection that comes up a second late, on real sockets, and the module's two edges; each fails without its guard (tried).

--- a/brain/attempts.go
+++ b/brain/attempts.go
@@ -34,13 +34,34 @@
 			continue
 		}
 		// Hazard: this attempt may have run, or runs: its effect could happen twice.
-		if c.Effect == Unsafe || c.Effect == Keyed && (now-t.sent >= c.Window || !sameGroup(c, t.w, w)) {
+		if c.Effect == Unsafe || c.Effect == Keyed && (!t.inWindow(now, c) || !sameGroup(c, t.w, w)) {
 			return false
 		}
 	}
 	return b.coldRoom(now, w, b.effort(q))
 }
 
+// inWindow reports whether repeats of an attempt that may have run are still dropped by its group.
+//
+// Hazard: the process is held up between reading its clock and writing.
+func (t *attempt) inWindow(now time.Duration, c *Class) bool { return now-t.sent+stall < c.Window }
+
+// StillAllowed reports whether an attempt that was begun, and has not been written yet, may still be.
+//
+// Hazard: a connection that comes up late carries a repeat beyond the window of the attempt before it.
+func (b *Balancer) StillAllowed(now time.Duration, id RequestID, n int) bool {
+	q, _ := b.attempt(id, n)
+	if q == nil || q.over {
+		return false
+	}
+	for i := range q.tries {
+		if t := &q.tries[i]; i != n && q.class.Effect == Keyed && t.mayHaveRun() && !t.inWindow(now, q.class) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayGoOn reports whether the budget of further attempts has room for one more.
 //
 // Hazard: where many attempts fail, each tried again makes the trouble larger. A time at the window's
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,6 +35,8 @@
 	longestAsk = 4 * time.Second
 	stale      = 2    // news older than so many of the shortest deadlines says nothing of a queue
 	tiny       = 1e-9 // keeps divisors off zero
+	// stall is how long a process may be held up between reading its clock and writing.
+	stall = 150 * time.Millisecond
 )
 
 // place gives a request with no attempt out its next one, perhaps after asking, or its final answer.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1595,3 +1595,27 @@
 		}
 	}
 }
+
+// Repeats of a keyed request that may have run end a stall before the window does, and one that was begun and
+// waits to be written ends with it.
+func TestRepeatsEndAStallBeforeTheWindow(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		sends int
+	}{{-10 * time.Millisecond, 2}, {10 * time.Millisecond, 1}} {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		window := r.set.Classes[keyedClass].Window
+		q := job(0, keyedClass)
+		q.Left = 10 * window
+		r.request(q)
+		r.pass(window - stall + c.after)
+		r.end(&r.sends[0], Reset)
+		if len(r.sends) != c.sends {
+			t.Errorf("%v from a stall before the window's end: %d sends, want %d", c.after, len(r.sends), c.sends)
+		}
+		if c.sends == 2 && (!r.b.StillAllowed(r.now, q.ID, 1) || r.b.StillAllowed(r.now+stall, q.ID, 1)) {
+			t.Error("a repeat that waits to be written is allowed beyond the window, or not within it")
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -288,13 +288,17 @@
 	})
 }
 
-// Wanted says whether a branch may still be sent: it has not ended, its worker takes work, and its client has
-// not left.
+// Wanted says whether a branch may still be sent: it has not ended, its worker takes work, its class allows it
+// now, and its client has not left.
 func (c *Core) Wanted(id slots.ID) bool {
 	b, ok := c.branches.Get(id)
 	if !ok || b.hop.gone || c.over(b.hop.name, b.hop.listed).State != brain.Ready {
 		return false
 	}
+	// Within the module's own call it has only just decided.
+	if !c.busy && !c.bal.StillAllowed(c.clock.Now(), brain.RequestID(b.t.ID), b.n) {
+		return false
+	}
 	return c.stays(b.t) && !b.ended
 }
 
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,6 +36,7 @@
 	watches int
 	hosts   []string      // where further workers listen, that are s-2 and so on
 	drained bool          // those drain
+	class   string        // in place of the class of the settings, if not empty
 	ends    chan struct{} // closed: the watches that are open end
 }
 
@@ -167,10 +169,11 @@
 func configOf(t *testing.T, file, mode string, a *agent) *Config {
 	text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"7","known":%s,`+
 		`"settings":{"fleet_size":1,"kinds":["k"],"zones":["z"],"membership_mode":%q,`+
-		`"classes":[{"name":"c","effect":"retryable","give_up":5000000000,"slo":4000000000}],`+
+		`"classes":[%s],`+
 		`"limits":{"try_limit":3,"cancel":true,"connect_timeout":3000000000},`+
 		`"contract":{"drain_grace":%d,"ask_every":10000000000}}}`,
-		a.Listener.Addr(), a.list(), mode, grace.Nanoseconds())
+		a.Listener.Addr(), a.list(), mode, cmp.Or(a.class,
+			`{"name":"c","effect":"retryable","give_up":5000000000,"slo":4000000000}`), grace.Nanoseconds())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/moments_test.go
+++ b/internal/platform/moments_test.go
@@ -94,7 +94,7 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: c\r\n"+
-		"X-Timeout: %dm\r\nContent-Length: 1\r\n\r\nx", id, patience.Milliseconds())
+		"X-Timeout: %dm\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx", id, patience.Milliseconds())
 	return c
 }
 
@@ -250,6 +250,34 @@
 	}
 }
 
+// The connection for a repeat comes up a second late, beyond the window in which workers drop repeats of what
+// may have run: it is not sent.
+func TestRepeatOnALateConnectionBeyondTheWindow(t *testing.T) {
+	t.Parallel()
+	late, first := newLateWorker(t), newWorker(t)
+	a := newAgent(t)
+	a.class = `{"name":"c","effect":"dedup","key_scope":"all","window":1000000000,"give_up":5000000000,"slo":4000000000}`
+	a.state, a.hosts = "DRAINING", []string{first.Addr().String()}
+	f := follower(t, "on_request", a)
+	turns(t, f, "DRAINING", 20*grace)
+	c := ask(t, f.address(t), "repeat")
+	got := <-first.jobs
+	a.do(func() { a.state, a.hosts, a.gen = "SERVING", append(a.hosts, late.address), a.gen+1 })
+	turns(t, f, "SERVING", 20*grace)
+	dialled := time.Now()
+	got.Close() // before its 202: it may have run
+	for time.Since(dialled) < 100*time.Millisecond {
+		time.Sleep(time.Millisecond) // the first packet of the next connection is dropped meanwhile
+	}
+	late.let()
+	if text := late.request(); strings.HasPrefix(text, "POST") {
+		t.Errorf("beyond the window a worker gets %.20q", text)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode == 200 {
+		t.Errorf("the client gets %v, %v", resp, err)
+	}
+}
+
 // A client leaves while the loop is held up, and an attempt's end lies before its own: nothing more is
 // sent. With the client there the same is sent on.
 func TestNoAttemptForAClientThatHasLeft(t *testing.T) {
