Pass a list that discovery has not confirmed on to the next process, and not to other instances

Found by reading who uses the front's list since the configured one waits for discovery: a process that is replaced within its first moments would have passed on an empty list of that generation, and its successor asked only for changes since; an instance that keeps the list for others would have given them an empty one. TestConfiguredListWaitsForDiscovery asks for both: one worker, and not watched.

--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -348,6 +348,9 @@
 			a.deaf, a.mute = true, true
 			f := follower(t, mode, a)
 			stays(t, f, "")
+			if n, watched := f.passes(); n != 1 || watched {
+				t.Errorf("%d workers are passed on to another process, to others: %v", n, watched)
+			}
 			if ready := f.healthy(); ready {
 				t.Error("ready with a list that nobody has confirmed")
 			}
@@ -375,3 +378,19 @@
 	f.loop.Post(func() { got <- f.Ready() })
 	return <-got == nil
 }
+
+// passes is how many workers a process is told of that takes this one's place, and whether other instances
+// would be given the list.
+func (f *Front) passes() (n int, watched bool) {
+	done := make(chan struct{})
+	f.loop.Post(func() {
+		var lines []line
+		if _, raw, err := f.List(); err == nil {
+			_ = json.Unmarshal(raw, &lines)
+		}
+		n, watched = len(lines), f.Watched()
+		close(done)
+	})
+	<-done
+	return n, watched
+}
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -143,7 +143,7 @@
 
 // List is the list as it was heard last, and its generation.
 func (f *Front) List() (int64, json.RawMessage, error) {
-	lines := make([]line, 0, len(f.lines))
+	lines := f.start.unconfirmed()
 	for _, l := range f.lines {
 		lines = append(lines, l)
 	}
--- a/internal/platform/startlist.go
+++ b/internal/platform/startlist.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"time"
 
 	"moorstack/brain"
@@ -46,6 +47,16 @@
 	s.front.tell(brain.Cached, &s.front.cfg.Known)
 }
 
+// unconfirmed is the configured list while it waits for discovery.
+//
+// Hazard: a process that takes this one's place asks for what has changed since, and needs all of it.
+func (s *startList) unconfirmed() []line {
+	if !s.pending {
+		return []line{}
+	}
+	return slices.Clone(s.front.cfg.Known.Instances)
+}
+
 // confirm takes discovery's word that nothing has changed since the configured list.
 func (s *startList) confirm() {
 	if s.pending {
