Have the core ask its module about late repeats only where that can be asked

TestModulesOnPairedDays plays modules of the past with today's core, and could not build them since the core calls StillAllowed. Seen in the whole test run; the core takes it by a small interface now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,6 +166,7 @@
 // Core drives one balancer.
 type Core struct {
 	bal      *brain.Balancer
+	late     lateJudge // the same; nil: it can't be asked
 	set      brain.Settings
 	clock    Clock
 	dir      Directory
@@ -191,6 +192,7 @@
 		hops: map[brain.WorkerID]*hop{}, ids: map[string]brain.WorkerID{}, bans: newBans()}
 	var err error
 	c.bal, err = brain.New(set, seed, actions{c})
+	c.late, _ = any(c.bal).(lateJudge)
 	return c, err
 }
 
@@ -288,6 +290,12 @@
 	})
 }
 
+// lateJudge is a module that can be asked again about an attempt that is written late. Modules of the past,
+// which are played against today's, can't.
+type lateJudge interface {
+	StillAllowed(now time.Duration, id brain.RequestID, attempt int) bool
+}
+
 // Wanted says whether a branch may still be sent: it has not ended, its worker takes work, its class allows it
 // now, and its client has not left.
 func (c *Core) Wanted(id slots.ID) bool {
@@ -296,7 +304,7 @@
 		return false
 	}
 	// Within the module's own call it has only just decided.
-	if !c.busy && !c.bal.StillAllowed(c.clock.Now(), brain.RequestID(b.t.ID), b.n) {
+	if c.late != nil && !c.busy && !c.late.StillAllowed(c.clock.Now(), brain.RequestID(b.t.ID), b.n) {
 		return false
 	}
 	return c.stays(b.t) && !b.ended
