--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 lint:
 	@test -z "$$(gofmt -l brain cmd internal)" || { gofmt -l brain cmd internal; exit 1; }
 	go vet ./...
+	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 ./...
 
 # A node on loopback with both fronts, to try things out.
 run: build
--- a/brain/state.go
+++ b/brain/state.go
@@ -581,18 +581,18 @@
 		return errors.New("no actions")
 	}
 	if len(s.Classes) == 0 {
-		return errors.New("Classes: none given")
+		return errors.New("settings: Classes: none given")
 	}
 	for i, c := range s.Classes {
 		if c.Deadline <= 0 {
-			return fmt.Errorf("Classes[%d].Deadline: %v is not positive", i, c.Deadline)
+			return fmt.Errorf("settings: Classes[%d].Deadline: %v is not positive", i, c.Deadline)
 		}
 		if c.Aim < 0 || c.Stretch < 0 || c.Worth < 0 || c.Window < 0 ||
 			c.Effect > Unsafe || c.Scope > ScopeCell || c.Attempts < 0 {
-			return fmt.Errorf("Classes[%d]: a value is out of range", i)
+			return fmt.Errorf("settings: Classes[%d]: a value is out of range", i)
 		}
 		if c.Kind < -1 || c.Kind >= s.Kinds && c.Kind > 0 {
-			return fmt.Errorf("Classes[%d].Kind: %d is not one of %d kinds", i, c.Kind, s.Kinds)
+			return fmt.Errorf("settings: Classes[%d].Kind: %d is not one of %d kinds", i, c.Kind, s.Kinds)
 		}
 	}
 	r := &s.Rules
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -22,7 +22,6 @@
 	kind   requestKind
 	id     string // of the change, or of the read
 	data   []byte // of a proposal, to go in again under another leader
-	conf   *pb.ConfChangeV2
 	until  uint64 // ticks
 	tried  uint64 // ticks, when it went in last
 	lead   uint64 // to whom
--- a/internal/emulate/client.go
+++ b/internal/emulate/client.go
@@ -17,7 +17,7 @@
 	rng, sizes, habits   *rand.Rand
 	over                 bool
 	rateBy               float64 // a trouble: a flood
-	tenant, sum          int
+	tenant               int
 	total                float64
 	heavyShare, heavySum float64
 }
@@ -37,10 +37,8 @@
 	node    *Node
 	life    int
 	answers int // of the try that is out
-	served  bool
 	ended   bool
 	runs    int // times that a worker has run it to its end
-	retried bool
 	outs    []attemptAt
 }
 
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -169,7 +169,7 @@
 		}
 		return string(b)
 	}
-	if run(3) != run(3) {
+	if first, again := run(3), run(3); first != again {
 		t.Error("one seed gives two runs")
 	}
 	if run(3) == run(4) {
--- a/internal/membership/rumours.go
+++ b/internal/membership/rumours.go
@@ -75,15 +75,14 @@
 		m.counts.Refused++
 		return nil
 	}
-	x := m.peers[from]
-	if x == nil {
-		x = m.add(now, from)
+	if m.peers[from] == nil {
+		m.add(now, from)
 	}
 	for _, r := range w.Words {
 		m.take(now, r)
 	}
 	// What is held against it, it is to hear: it is there, and can refute that.
-	if x = m.peers[from]; x != nil && (x.state == Suspect || x.state == Failed) {
+	if x := m.peers[from]; x != nil && (x.state == Suspect || x.state == Failed) {
 		m.spread(Rumour{ID: from, State: x.state, Inc: x.inc, By: m.self})
 	}
 	switch w.Kind {
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -157,7 +157,7 @@
 	}()
 	beat := time.NewTicker(lists.Beat)
 	defer beat.Stop()
-	newest := first.Generation
+	var newest int64
 	for n, ok := first, true; ; {
 		// Hazard: the look comes right before each word; what leaves all the same carries the number.
 		if !ok || !t.May(consensus.Boottime()) {
--- a/internal/ratelimit/story_test.go
+++ b/internal/ratelimit/story_test.go
@@ -27,7 +27,6 @@
 	nodes  []*node
 	epoch  uint64
 	view   placement.View // as agreed last
-	index  uint64         // of that
 	log    []placement.View
 	policy Policy
 	spent  map[Key][]time.Duration
--- a/internal/rig/rates.go
+++ b/internal/rig/rates.go
@@ -54,11 +54,11 @@
 		ratelimit.Key
 	}
 	type level struct {
-		jobs        float64
-		at, first   time.Duration
-		n           int
-		limit       ratelimit.Limit
-		seen, wrong bool
+		jobs      float64
+		at, first time.Duration
+		n         int
+		limit     ratelimit.Limit
+		wrong     bool
 	}
 	runs, latest := map[string]uint64{}, map[string]time.Duration{}
 	levels := map[bucket]*level{}
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -49,7 +49,6 @@
 	attempt int
 	running uint64
 
-	sent  Report
 	at    time.Duration // when
 	ever  bool          // something was sent
 	dirty bool
--- a/internal/schedule/stories_test.go
+++ b/internal/schedule/stories_test.go
@@ -42,7 +42,6 @@
 type entry struct {
 	kind     string // command, open, lapse, policy
 	c        Command
-	seat     Seat
 	policy   Policy
 	sessions []placement.Member
 	gone     []Seat
@@ -50,28 +49,27 @@
 
 // one is an instance.
 type one struct {
-	id                uint64
-	state             *State
-	members           []placement.Member
-	applied           int
-	lag               time.Duration // until when it applies nothing
-	stalled, dead     time.Duration // until when
-	cut               time.Duration // until when it hears nothing and is not heard
-	away              bool          // it has left the group for now
-	owner             *Owner
-	epoch             uint64
-	until             time.Duration // its right ends
-	right             int           // from that entry of the log on
-	granted           time.Duration // that would count then
-	fleet             int64         // ns, as told last
-	fleetAt           time.Duration
-	skew              time.Duration
-	mine              []Item
-	expires           time.Duration // when its lease has surely run out, as the leader counts
-	reported          time.Duration
-	sent              []Command
-	sentAt            []time.Duration
-	oldRules, fragile bool
+	id            uint64
+	state         *State
+	applied       int
+	lag           time.Duration // until when it applies nothing
+	stalled, dead time.Duration // until when
+	cut           time.Duration // until when it hears nothing and is not heard
+	away          bool          // it has left the group for now
+	owner         *Owner
+	epoch         uint64
+	until         time.Duration // its right ends
+	right         int           // from that entry of the log on
+	granted       time.Duration // that would count then
+	fleet         int64         // ns, as told last
+	fleetAt       time.Duration
+	skew          time.Duration
+	mine          []Item
+	expires       time.Duration // when its lease has surely run out, as the leader counts
+	reported      time.Duration
+	sent          []Command
+	sentAt        []time.Duration
+	oldRules      bool
 }
 
 type act struct {
@@ -449,9 +447,7 @@
 	seen := map[string]uint64{}
 	last := map[string]int64{}
 	var events []Event
-	for _, e := range s.events() {
-		events = append(events, e)
-	}
+	events = append(events, s.events()...)
 	ended := map[uint64]Result{}
 	by := map[string]Trigger{}
 	for set := range 4 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -239,8 +239,10 @@
 	_, err = s.Append(store.Record{Kind: 1})
 	must(t, err)
 	fs.FailSync = true
-	if s.Sync() == nil || s.Sync() == nil {
-		t.Error("a sync after a failed one says that all is well")
+	for range 2 {
+		if s.Sync() == nil {
+			t.Error("a failed sync, or one after it, says that all is well")
+		}
 	}
 	if _, err := s.Append(store.Record{Kind: 1}); err == nil {
 		t.Error("a store that failed takes records")
--- a/internal/versus/calendar_test.go
+++ b/internal/versus/calendar_test.go
@@ -4,6 +4,7 @@
 	"archive/zip"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -43,7 +44,11 @@
 
 // places are the zones of the tz database that differ from each other since 1970.
 func places(t *testing.T) []*time.Location {
-	path := filepath.Join(runtime.GOROOT(), "lib", "time", "zoneinfo.zip")
+	root, err := exec.Command("go", "env", "GOROOT").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(strings.TrimSpace(string(root)), "lib", "time", "zoneinfo.zip")
 	z, err := zip.OpenReader(path)
 	if err != nil {
 		t.Skipf("the list of zones is not there: %v", err)
