--- a/brain/attempts.go
+++ b/brain/attempts.go
@@ -55,7 +55,8 @@
 		return false
 	}
 	for i := range q.tries {
-		if t := &q.tries[i]; i != n && q.class.Effect == Keyed && t.mayHaveRun() && !t.inWindow(now, q.class) {
+		t := &q.tries[i]
+		if i != n && q.class.Effect == Keyed && t.mayHaveRun() && !t.inWindow(now, q.class) {
 			return false
 		}
 	}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,8 +30,8 @@
 	many        = 8    // dispatchers that don't ask for the list at once
 	firstAsks   = 16   // the part of the shortest deadline over which they ask for it at their start
 	firstList   = 2    // the part of it, and of their own, for which requests wait for the first list
-	// longestAsk is the longest wait before the list is asked for again. Hazard: when its service is back after
-	// a long outage, all that it has to tell counts as told 6 s later.
+	// longestAsk is the longest wait before the list is asked for again. Hazard: when its service is back
+	// after a long outage, all that it has to tell counts as told 6 s later.
 	longestAsk = 4 * time.Second
 	stale      = 2    // news older than so many of the shortest deadlines says nothing of a queue
 	tiny       = 1e-9 // keeps divisors off zero
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -420,7 +420,8 @@
 		}
 		return n
 	}
-	if small, usual, large := allowed(0.02), allowed(1), allowed(3); usual == 0 || small != usual || large*3 > usual {
+	small, usual, large := allowed(0.02), allowed(1), allowed(3)
+	if usual == 0 || small != usual || large*3 > usual {
 		t.Errorf("%d small ones, %d usual ones, %d of three times the mean", small, usual, large)
 	}
 }
@@ -432,7 +433,8 @@
 		for _, allowed := range []float64{3, 12, 60} { // requests a window, of a warm worker
 			for _, uneven := range []bool{false, true} {
 				if most := greedy(t, size, allowed, uneven); most > 1 {
-					t.Errorf("%d dispatchers, N up to %v, uneven %v: %.2f of what the rule bears", size, allowed, uneven, most)
+					t.Errorf("%d dispatchers, N up to %v, uneven %v: %.2f of what the rule bears", size,
+						allowed, uneven, most)
 				}
 			}
 		}
@@ -1612,7 +1614,8 @@
 		r.pass(window - stall + c.after)
 		r.end(&r.sends[0], Reset)
 		if len(r.sends) != c.sends {
-			t.Errorf("%v from a stall before the window's end: %d sends, want %d", c.after, len(r.sends), c.sends)
+			t.Errorf("%v from a stall before the window's end: %d sends, want %d", c.after, len(r.sends),
+				c.sends)
 		}
 		if c.sends == 2 && (!r.b.StillAllowed(r.now, q.ID, 1) || r.b.StillAllowed(r.now+stall, q.ID, 1)) {
 			t.Error("a repeat that waits to be written is allowed beyond the window, or not within it")
--- a/brain/memory.go
+++ b/brain/memory.go
@@ -41,7 +41,8 @@
 // end one by one, and whoever recalls this is told of them by Beside.
 func (b *Balancer) Memory() Memory {
 	m := Memory{Slots: b.slots, Paces: b.paces, Usual: b.usual, Mean: b.mean, Ratio: b.ratio,
-		Arrived: b.arrived, Efforts: b.efforts, Watched: b.watched, Wait: b.wait, Crowd: b.crowd, WaitT: b.waitT,
+		Arrived: b.arrived, Efforts: b.efforts, Watched: b.watched, Wait: b.wait, Crowd: b.crowd,
+		WaitT:    b.waitT,
 		Surveyed: b.surveyed, Workers: make(map[WorkerID]WorkerMemory, len(b.workers))}
 	for _, l := range b.loads {
 		m.Loads = append(m.Loads, [2]float64{l.work, l.seconds})
--- a/brain/slowstart.go
+++ b/brain/slowstart.go
@@ -35,8 +35,8 @@
 	n := float64(b.set.Fleet)
 	steady := (1 + 1/max(n, 2)) / 2 // a window can meet two turns beside the steady parts of all others
 	windows, used := 1, steady
-	// Hazard: a cold worker bears so many usual requests, and so much work. Where most requests are far smaller
-	// than the mean, a budget in work alone lets several times that number through.
+	// Hazard: a cold worker bears so many usual requests, and so much work. Where most requests are far
+	// smaller than the mean, a budget in work alone lets several times that number through.
 	mean := b.meanEffort()
 	if mean > 0 {
 		// The rule leaves twice the root of what it allows, and two, for chance: half of that is used.
--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -159,7 +159,8 @@
 var unchanged = ""
 
 // newWorldSaying is newWorld with what a watch says first; nil: nothing.
-func newWorldSaying(t *testing.T, first *string, hops int, do func(n int, s seen, rw http.ResponseWriter)) *world {
+func newWorldSaying(t *testing.T, first *string, hops int,
+	do func(n int, s seen, rw http.ResponseWriter)) *world {
 	return startWorld(t, filepath.Join(t.TempDir(), "config.json"), first, hops, do)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -296,8 +296,8 @@
 	StillAllowed(now time.Duration, id brain.RequestID, attempt int) bool
 }
 
-// Wanted says whether a branch may still be sent: it has not ended, its worker takes work, its class allows it
-// now, and its client has not left.
+// Wanted says whether a branch may still be sent: it has not ended, its worker takes work, its class allows
+// it now, and its client has not left.
 func (c *Core) Wanted(id slots.ID) bool {
 	b, ok := c.branches.Get(id)
 	if !ok || b.hop.gone || c.over(b.hop.name, b.hop.listed).State != brain.Ready {
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -41,7 +41,8 @@
 func (e *echo) Ended(_ *Conn, err error) { e.ended <- err }
 
 // inlet listens with the limits on a loop of its own; conns has what was accepted.
-func inlet(t *testing.T, limits Limits, slow bool) (loop *Loop, ln *Listener, address string, conns chan *echo) {
+func inlet(t *testing.T, limits Limits, slow bool) (loop *Loop, ln *Listener, address string,
+	conns chan *echo) {
 	t.Helper()
 	loop, err := New()
 	if err != nil {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -373,9 +373,9 @@
 
 // broken says that one connection broke before it was accepted, as Linux lists the errors.
 func broken(err error) bool {
-	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT, unix.ENETDOWN,
-		unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.ENETUNREACH, unix.EOPNOTSUPP, unix.ETIMEDOUT,
-		unix.EPERM} {
+	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT,
+		unix.ENETDOWN, unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.ENETUNREACH,
+		unix.EOPNOTSUPP, unix.ETIMEDOUT, unix.EPERM} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -136,7 +136,8 @@
 // Hazard: one that has just started has no list, and would pass that on as one without workers.
 func (f *Front) Watched() bool {
 	d := f.dir
-	return d.watch != nil && !d.watch.ended && d.watch.in.HeadDone() && d.told.Generation > 0 && !f.start.pending
+	return d.watch != nil && !d.watch.ended && d.watch.in.HeadDone() && d.told.Generation > 0 &&
+		!f.start.pending
 }
 
 // PassOn has what discovery says be told as it says it. Called on the loop, as is the function.
--- a/internal/platform/moments_test.go
+++ b/internal/platform/moments_test.go
@@ -256,7 +256,8 @@
 	t.Parallel()
 	late, first := newLateWorker(t), newWorker(t)
 	a := newAgent(t)
-	a.class = `{"name":"c","effect":"dedup","key_scope":"all","window":1000000000,"give_up":5000000000,"slo":4000000000}`
+	a.class = `{"name":"c","effect":"dedup","key_scope":"all","window":1000000000,` +
+		`"give_up":5000000000,"slo":4000000000}`
 	a.state, a.hosts = "DRAINING", []string{first.Addr().String()}
 	f := follower(t, "on_request", a)
 	turns(t, f, "DRAINING", 20*grace)
--- a/internal/platform/starts.go
+++ b/internal/platform/starts.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// startLag is how much later than a worker's start discovery may tell of it at the most: a worker that was
-	// not listed when discovery was heard last started no longer than this before.
+	// startLag is how much later than a worker's start discovery may tell of it at the most: a worker that
+	// was not listed when discovery was heard last started no longer than this before.
 	startLag = 15 * time.Second
 	// leastStep is the least difference of two clocks that is taken for a step of one.
 	leastStep = 50 * time.Millisecond
--- a/internal/platform/starts_test.go
+++ b/internal/platform/starts_test.go
@@ -20,7 +20,8 @@
 		}
 		s := starts{}
 		s.confirm(heard)
-		if got := s.at("w", start+step, now, 0); got > now || step == -time.Hour && got < start || step == 0 && got != start {
+		got := s.at("w", start+step, now, 0)
+		if got > now || step == -time.Hour && got < start || step == 0 && got != start {
 			t.Errorf("all but ours stepped by %v: %v after its start", step, got-start)
 		}
 	}
