Tell connections apart in TestKeptConnections, and wait for the last probe

A trace of the calls at the workers shows two causes, both in the test: - it took a connection for used by its remote address alone. The kernel gives connections to two servers one source port (60680 to both workers in one trace, 24 ms apart), so a fresh connection was reset as a used one. - it counted the probes when the last job had its answer, which may come before that of the probe sent with it. Connections are now known by themselves, and the 20 probes are waited for; the bounds are the same.

--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -176,7 +177,11 @@
 	known := []string{}
 	for i := range hops {
 		h := &hop{w: w, name: fmt.Sprintf("s-%04d", i), do: do}
-		h.srv = httptest.NewServer(h)
+		h.srv = httptest.NewUnstartedServer(h)
+		h.srv.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		}
+		h.srv.Start()
 		t.Cleanup(h.srv.Close)
 		w.hops = append(w.hops, h)
 		known = append(known, h.line("SERVING"))
@@ -253,6 +258,14 @@
 	}
 }
 
+// connectionKey finds a request's connection in its context.
+type connectionKey struct{}
+
+// connection is the one that a request came on.
+//
+// Hazard: the remote address does not name it: the kernel gives connections to two servers one source port.
+func connection(r *http.Request) net.Conn { return r.Context().Value(connectionKey{}).(net.Conn) }
+
 func (h *hop) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if h.w.first != nil && h.w.first(rw, r) {
 		return
--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -157,15 +157,15 @@
 func TestKeptConnections(t *testing.T) {
 	w := newWorld(t, 2, done)
 	var mu sync.Mutex
-	used, probes := map[string]bool{}, 0
+	used, probes := map[net.Conn]bool{}, 0
 	w.first = func(rw http.ResponseWriter, r *http.Request) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		if used[r.RemoteAddr] {
+		if used[connection(r)] {
 			cut(rw)
 			return true
 		}
-		used[r.RemoteAddr] = true
+		used[connection(r)] = true
 		if r.Method == "GET" {
 			probes++
 		}
@@ -178,11 +178,15 @@
 			failed++
 		}
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	if failed > 1 || probes < 20 {
-		t.Errorf("%d of 20 jobs failed, %d probes were answered", failed, probes)
+	if failed > 1 {
+		t.Errorf("%d of 20 jobs failed", failed)
 	}
+	// The last job's answer may come before that of the probe that went out with it.
+	eventually(t, "a probe is answered for each job", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return probes >= 20
+	})
 }
 
 // A job that next hops can't use is tried at one, and the others' jobs go on.
