--- a/cmd/moorstack/harness_test.go
+++ b/cmd/moorstack/harness_test.go
@@ -208,9 +208,18 @@
 		}
 	})
 	listens(t, w.addr)
+	if first != nil && hops > 0 {
+		eventually(t, "the node has its list", w.healthy)
+	}
 	return w
 }
 
+// healthy says whether the node knows a worker and takes requests.
+func (w *world) healthy() bool {
+	resp, _ := w.dial().send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer()
+	return resp.StatusCode == http.StatusOK
+}
+
 // listens waits until somebody does at an address.
 func listens(t *testing.T, addr string) {
 	t.Helper()
