Take what has come before deadlines are judged, and what lies unread before the process ends

A client's whole message was closed as overdue. Loop.Run asks epoll again before deadlines have their turn, eight times at most. - long after the notice of an end, a request that came whole and was not read yet was dropped with the process: finish counted unread bytes only for one second. It counts them always now; parts of requests have that second still. - a request sent ahead behind /_health was read and closed unanswered.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -265,9 +265,12 @@
 }
 
 // Pending says that input has come which has not been used, read or unread.
-func (c *Conn) Pending() bool {
-	if c.closed || c.mid > 0 {
-		return c.mid > 0
+func (c *Conn) Pending() bool { return c.mid > 0 || c.Unread() }
+
+// Unread says that input lies with the kernel.
+func (c *Conn) Unread() bool {
+	if c.closed {
+		return false
 	}
 	var one [1]byte
 	n, _, _ := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -196,3 +196,50 @@
 		t.Errorf("%d connections were accepted, want 1", n)
 	}
 }
+
+// A message comes whole while the loop is held up, beyond the time by which it had to come: it is read first,
+// and answered.
+func TestWhatHasComeGoesBeforeItsDeadline(t *testing.T) {
+	loop, _, address, conns := inlet(t, Limits{Connections: 8, Bytes: 1 << 20, Patience: 100 * time.Millisecond},
+		false)
+	c := dialed(t, address)
+	<-conns
+	held, free := make(chan struct{}), make(chan struct{})
+	loop.Post(func() { close(held); <-free })
+	<-held
+	fmt.Fprintln(c, "late, but here")
+	time.Sleep(stalled + 100*time.Millisecond) // so long nothing need come before the message is overdue
+	close(free)
+	wantOK(t, c, "the message that lay unread")
+}
+
+// More sources are ready than are asked for at a time, and a deadline has passed: it waits for all of them.
+func TestManyReadySourcesGoBeforeADeadline(t *testing.T) {
+	loop, _, address, conns := inlet(t, Limits{Connections: 3 * batch, Bytes: 1 << 20}, false)
+	var peers []stdnet.Conn
+	for range 2 * batch {
+		peers = append(peers, dialed(t, address))
+		<-conns
+	}
+	held, free := make(chan struct{}), make(chan struct{})
+	loop.Post(func() { close(held); <-free })
+	<-held
+	for _, c := range peers {
+		fmt.Fprintln(c, "hello")
+	}
+	unread := make(chan int, 1)
+	on := func() {
+		n := 0
+		for _, s := range loop.sources.All {
+			if c, ok := s.(*Conn); ok && c.Unread() {
+				n++
+			}
+		}
+		unread <- n
+	}
+	loop.At(loop.Now(), on) // the loop's goroutine is held, and touches nothing meanwhile
+	close(free)
+	if n := <-unread; n > 0 {
+		t.Errorf("%d messages lie unread when a deadline that came after them has its turn", n)
+	}
+}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -61,6 +61,7 @@
 	origin   time.Duration
 	stopped  bool
 	inlets   []*Listener
+	events   [batch]unix.EpollEvent
 
 	mu     sync.Mutex
 	posted []func()
@@ -129,28 +130,63 @@
 func (l *Loop) Stop() { l.stopped = true }
 
 // Run serves until Stop.
+//
+// Hazard: the process is held up, and an answer or a request lies unread when a deadline for it has passed. So
+// whatever had come by the time at which deadlines are judged is taken before them.
 func (l *Loop) Run() error {
-	events := make([]unix.EpollEvent, 128)
 	for !l.stopped {
-		n, err := unix.EpollWait(l.ep, events, l.wait())
+		if err := l.poll(l.wait()); err != nil {
+			return err
+		}
+		now := l.Now()
+		if !l.due(now) {
+			continue
+		}
+		if err := l.poll(0); err != nil {
+			return err
+		}
+		for l.due(now) && !l.stopped {
+			heap.Pop(&l.timers).(*Timer).f()
+		}
+	}
+	return nil
+}
+
+// due reports whether the first deadline has come by the given time.
+func (l *Loop) due(now time.Duration) bool { return len(l.timers) > 0 && l.timers[0].at <= now }
+
+const (
+	batch     = 128 // events that are asked for at a time
+	mostPolls = 8   // how often more are asked for before deadlines have their turn
+)
+
+// poll waits so many milliseconds for events, and has their sources take them, with all that wait already.
+func (l *Loop) poll(wait int) error {
+	for range mostPolls {
+		n, err := unix.EpollWait(l.ep, l.events[:], wait)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll: %w", err)
 		}
 		for i := range max(n, 0) {
-			// An earlier event of this batch may have closed what this one is about, and
-			// its slot may be in use again: then the generation misses.
-			id := slots.Of(uint32(events[i].Fd), uint32(events[i].Pad))
-			if s, ok := l.sources.Get(id); ok {
-				s.ready(events[i].Events)
-			}
+			l.take(&l.events[i])
 		}
-		for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now && !l.stopped; {
-			heap.Pop(&l.timers).(*Timer).f()
+		if n < len(l.events) || l.stopped {
+			return nil
 		}
+		wait = 0
 	}
 	return nil
 }
 
+// take has the source of an event take it.
+func (l *Loop) take(e *unix.EpollEvent) {
+	// An earlier event of this batch may have closed what this one is about, and its slot may be in use
+	// again: then the generation misses.
+	if s, ok := l.sources.Get(slots.Of(uint32(e.Fd), uint32(e.Pad))); ok {
+		s.ready(e.Events)
+	}
+}
+
 // wait is how long epoll may sleep, in milliseconds, rounded up so as not to spin.
 func (l *Loop) wait() int {
 	if len(l.timers) == 0 {
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -93,9 +93,7 @@
 	now := f.loop.Now()
 	busy := f.core.Waiting() > 0 || f.listener.Lingering() > 0
 	for c := range f.clients {
-		fresh := !c.used && now < c.opened+drain.Notice
-		busy = busy || c.waits || c.relayed || c.conn.Unsent() > 0 ||
-			!c.hop && (c.conn.Pending() || fresh) && now < until
+		busy = busy || c.owed() || now < until && c.mayYetAsk(now)
 	}
 	if busy {
 		f.loop.After(10*time.Millisecond, func() { f.finish(until, done) })
@@ -104,3 +102,15 @@
 	f.listener.Close()
 	done()
 }
+
+// owed says whether the connection still has to get an answer, or may have to: a request that has come whole
+// and was not read is owed one, however long ago the end began.
+func (c *client) owed() bool {
+	return c.waits || c.relayed || c.conn.Unsent() > 0 || !c.hop && c.conn.Unread()
+}
+
+// mayYetAsk says whether a request is on its way: a part of it has come, or it would be the connection's first.
+func (c *client) mayYetAsk(now time.Duration) bool {
+	fresh := !c.used && now < c.opened+drain.Notice
+	return !c.hop && (fresh || c.conn.Pending())
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -208,7 +208,8 @@
 			c.respond(204, "", nil)
 		}
 	case path == ready && m.Method == "GET":
-		c.last = true // it is asked seldom, but for those who mean to stay
+		// It is asked seldom, but for those who mean to stay.
+		c.last = c.last || !c.conn.Pending()
 		if c.front.Ready() != nil {
 			c.respond(503, "Retry-After: 1\r\n", nil)
 		} else {
--- a/internal/platform/moments_test.go
+++ b/internal/platform/moments_test.go
@@ -6,6 +6,7 @@
 	"io"
 	stdnet "net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -232,6 +233,32 @@
 	}
 }
 
+// The worker is told of a little less than its client has left: the answer takes its way back, and the process
+// may be held up before it writes.
+func TestDeadlineToldKeepsSomeBack(t *testing.T) {
+	t.Parallel()
+	told := make(chan string, 1)
+	w := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			told <- r.Header.Get("X-Timeout")
+		}
+		rw.WriteHeader(http.StatusAccepted)
+	}))
+	t.Cleanup(w.Close)
+	a := newAgent(t)
+	a.state, a.hosts = "DRAINING", []string{w.Listener.Addr().String()}
+	f := follower(t, "on_request", a)
+	turns(t, f, "DRAINING", 20*grace)
+	ask(t, f.address(t), "told")
+	d, err := time.ParseDuration(strings.Replace(<-told, "u", "us", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d > patience-reserve || d < patience/2 {
+		t.Errorf("the worker is told of %v, of %v that the client waits", d, patience)
+	}
+}
+
 // A worker drains while a connection to it comes up: nothing is sent on that any more.
 func TestDrainWhileAConnectionComesUp(t *testing.T) {
 	t.Parallel()
