Hold a worker, and requests, through the end of a whole process in tests

A worker that hangs through the whole of a shutdown, and requests that come on a kept connection and on one not accepted yet while a process that is told to end stands still (SIGSTOP before, SIGCONT after): both had no test with a whole process. Nothing had to be mended.

--- a/cmd/moorstack/endings_test.go
+++ b/cmd/moorstack/endings_test.go
@@ -62,3 +62,44 @@
 		t.Errorf("%d requests are sent to a worker that was drained before the start", n)
 	}
 }
+
+// A worker takes a request and says nothing more while the node is told to end: its client has a final answer
+// when its time is up, and the process ends after it.
+func TestWorkerHungThroughTheEnd(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, func(_ int, _ seen, rw http.ResponseWriter) { rw.WriteHeader(202) })
+	const patience = 2 * time.Second
+	sent := time.Now()
+	c := w.dial().send(job("hung", "book", "2000m", "x"))
+	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	c.want(502, "")
+	if took := time.Since(sent); took < patience-100*time.Millisecond || took > patience+500*time.Millisecond {
+		t.Errorf("the final answer comes after %v, of %v", took, patience)
+	}
+	c.Close()
+	if err := w.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// The node stands still. Meanwhile requests come, on a connection that it has not accepted and on one that it
+// keeps, and it is told to end: both are answered.
+func TestRequestsThatCrossTheEnd(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, done)
+	kept := w.dial().send(job("a", "quote", "3000m", "x"))
+	kept.want(200, "did x")
+	check(t, w.cmd.Process.Signal(syscall.SIGSTOP))
+	kept.send(job("b", "quote", "3000m", "y"))
+	fresh := w.dial().send(job("c", "quote", "3000m", "z"))
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	check(t, w.cmd.Process.Signal(syscall.SIGCONT))
+	kept.want(200, "did y")
+	fresh.want(200, "did z")
+	kept.Close()
+	fresh.Close()
+	if err := w.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
