Have system calls fail by script in tests, and bear each failure that Linux documents

Found so, and mended, each with the test that fails without it: - ENOBUFS and ENOMEM on reads and writes ended the connection, with what it was owed. It is left alone for 20 ms and goes on; it leaves the epoll set meanwhile, since some events can't be masked and would spin the loop. - a change of wanted events that the kernel refused was taken as made, and the connection or listener stood for ever. - an interrupted connect was taken as failed; an interrupted look at unread input as none, which closes over a request. - out of descriptors, or of the kernel's memory, connections were ended whose first request lay unread, or was on its way: requests and workers' words were reset over and over. Those that have proven nothing are given 0.1 s, and what lies unread is spared. At the listener's own limit it is as before.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -85,6 +85,7 @@
 
 	connecting, closed, closing bool
 	starved                     bool // there was no room for what it sends ahead
+	pausing                     bool // the kernel had no room for its last call
 	events                      uint32
 	lost                        int // output that the kernel had not taken at the end
 	ignored                     int // input that came after Finish
@@ -102,20 +103,22 @@
 // Dial begins a connection. The handler is told when it is up; an error here
 // means that it never will be.
 func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
-	fd, addr, err := socket(address)
-	if scarce(err) && l.free() {
-		fd, addr, err = socket(address) // what goes out must not wait for who comes in
+	fd, addr, err := l.socket(address)
+	if scarce(err) && l.free(forDescriptor) {
+		fd, addr, err = l.socket(address) // what goes out must not wait for who comes in
 	}
 	if err != nil {
 		return nil, err
 	}
-	if err = unix.Connect(fd, addr); err != nil && !errors.Is(err, unix.EINPROGRESS) {
-		unix.Close(fd)
+	err = l.system.Connect(fd, addr)
+	// A signal that comes meanwhile leaves the connection to come up, as if it had not come.
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) && !errors.Is(err, unix.EINTR) {
+		_ = l.system.Close(fd)
 		return nil, fmt.Errorf("connecting to %s: %w", address, err)
 	}
 	c, err := l.adopt(fd, true)
 	if err != nil {
-		unix.Close(fd)
+		_ = l.system.Close(fd)
 		return nil, err
 	}
 	c.H = h
@@ -245,11 +248,11 @@
 		return
 	}
 	if c.Unsent() == 0 && !c.connecting {
-		n, err := unix.Write(c.fd, p)
-		if err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
-			n = 0 // the loop will report the break, with these bytes unsent
+		n, err := c.loop.system.Write(c.fd, p)
+		if err != nil {
+			n = 0 // the loop tries again, or reports the break, with these bytes unsent
 		}
-		p = p[max(n, 0):]
+		p = p[n:]
 	}
 	c.buf = append(c.buf, p...)
 	c.count()
@@ -272,11 +275,20 @@
 	if c.closed {
 		return false
 	}
-	var one [1]byte
-	n, _, _ := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _ := c.peek()
 	return n > 0
 }
 
+// peek looks whether input has come: n is more than 0 if so.
+func (c *Conn) peek() (n int, err error) {
+	var one [1]byte
+	for {
+		if n, err = c.loop.system.Peek(c.fd, one[:]); !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // PeerClosed looks whether the peer has closed the connection, without waiting for the loop to tell and
 // whatever input lies before the end.
 func (c *Conn) PeerClosed() bool {
@@ -295,8 +307,7 @@
 	if c.closed || c.mid > 0 {
 		return true
 	}
-	var one [1]byte
-	n, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := c.peek()
 	return n > 0 || !errors.Is(err, unix.EAGAIN)
 }
 
@@ -311,7 +322,7 @@
 		c.from.lingering--
 	}
 	c.loop.sources.Remove(c.id)
-	unix.Close(c.fd) // leaves the epoll set, too
+	_ = c.loop.system.Close(c.fd) // leaves the epoll set, too
 	for _, fd := range c.fds {
 		unix.Close(fd)
 	}
@@ -340,7 +351,7 @@
 
 // linger half-closes and reads on until the peer has closed too, for a second at most.
 func (c *Conn) linger() {
-	_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	_ = c.loop.system.Shutdown(c.fd)
 	c.loop.After(lingering, c.Close)
 }
 
@@ -354,13 +365,48 @@
 	return unix.EPOLLIN | unix.EPOLLRDHUP
 }
 
+// update has epoll report what is wanted now.
 func (c *Conn) update() {
-	if w := c.wanted(); !c.closed && w != c.events {
-		c.events = w
-		_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_MOD, c.fd, event(w, c.id))
+	if w := c.wanted(); !c.closed && !c.pausing && w != c.events {
+		c.control(unix.EPOLL_CTL_MOD, w)
 	}
 }
 
+// control tells epoll which events are wanted.
+func (c *Conn) control(operation int, events uint32) {
+	if err := c.loop.system.Control(c.loop.ep, operation, c.fd, event(events, c.id)); err != nil {
+		// Hazard: unheard of, the connection would stand for ever.
+		c.pausing = true
+		c.loop.After(retryPause, c.resume)
+		return
+	}
+	c.events = events
+}
+
+// pause leaves the connection alone for a while: the kernel has no room for what it was asked.
+//
+// Hazard: some events can't be masked, and would spin the loop meanwhile.
+func (c *Conn) pause() {
+	c.control(unix.EPOLL_CTL_DEL, 0)
+	if !c.pausing {
+		c.pausing = true
+		c.loop.After(retryPause, c.resume)
+	}
+}
+
+// resume ends a pause.
+func (c *Conn) resume() {
+	if c.closed {
+		return
+	}
+	operation := unix.EPOLL_CTL_ADD
+	if c.events != 0 {
+		operation = unix.EPOLL_CTL_MOD // it was never taken out
+	}
+	c.pausing = false
+	c.control(operation, c.wanted())
+}
+
 func (c *Conn) ready(events uint32) {
 	if c.connecting {
 		if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || code != 0 {
@@ -389,11 +435,16 @@
 }
 
 func (c *Conn) flush() {
-	n, err := unix.Write(c.fd, c.buf[c.mid:])
-	if err != nil {
-		if !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
-			c.end(err)
-		}
+	n, err := c.loop.system.Write(c.fd, c.buf[c.mid:])
+	switch {
+	case err == nil:
+	case again(err):
+		return
+	case scarce(err):
+		c.pause()
+		return
+	default:
+		c.end(err)
 		return
 	}
 	c.buf = c.buf[:c.mid+copy(c.buf[c.mid:], c.buf[c.mid+n:])]
@@ -422,10 +473,11 @@
 	}
 	n, err := c.receive(c.buf[c.mid:min(cap(c.buf), most+1024)])
 	switch {
+	case again(err):
+	case scarce(err):
+		c.pause()
 	case err != nil:
-		if !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) {
-			c.end(err)
-		}
+		c.end(err)
 	case n == 0:
 		c.end(io.EOF)
 	case c.closing: // what still comes is not wanted
@@ -447,7 +499,7 @@
 // receive reads, and takes the descriptors that come along, where they are wanted.
 func (c *Conn) receive(p []byte) (int, error) {
 	if !c.Passing {
-		return unix.Read(c.fd, p)
+		return c.loop.system.Read(c.fd, p)
 	}
 	var oob [64]byte
 	n, on, _, _, err := unix.Recvmsg(c.fd, p, oob[:], unix.MSG_CMSG_CLOEXEC)
--- /dev/null
+++ b/internal/net/errors.go
@@ -0,0 +1,36 @@
+package net
+
+import (
+	"errors"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// What is done about calls that fail.
+
+// retryPause is how long a call waits that failed for want of something the kernel may have again soon.
+//
+// Hazard: events are level-triggered, and would be reported again and again meanwhile.
+const retryPause = 20 * time.Millisecond
+
+// again reports that a call did nothing and may be made again at the next event.
+func again(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) }
+
+// scarce reports that descriptors, or the kernel's memory, have run out.
+func scarce(err error) bool {
+	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
+		errors.Is(err, unix.ENOMEM)
+}
+
+// broken reports that one connection broke before it was accepted, as Linux lists the errors.
+func broken(err error) bool {
+	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT,
+		unix.ENETDOWN, unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.ENETUNREACH,
+		unix.EOPNOTSUPP, unix.ETIMEDOUT, unix.EPERM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"moorstack/internal/net/kernel"
 	"moorstack/internal/slots"
 )
 
@@ -54,6 +55,7 @@
 
 // Loop is the event loop.
 type Loop struct {
+	system   kernel.System
 	ep, wake int
 	sources  slots.Table[source]
 	timers   deadlines
@@ -69,9 +71,12 @@
 
 // New makes a loop. Its clock counts from the Unix epoch, for start times are
 // given so, and goes on by the monotonic clock, so that it never goes back.
-func New() (*Loop, error) {
+func New() (*Loop, error) { return NewOn(kernel.Linux{}) }
+
+// NewOn is New with another system in the kernel's place.
+func NewOn(system kernel.System) (*Loop, error) {
 	now := time.Now()
-	l := &Loop{started: now, origin: time.Duration(now.UnixNano())}
+	l := &Loop{system: system, started: now, origin: time.Duration(now.UnixNano())}
 	var err error
 	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -163,7 +168,7 @@
 // poll waits so many milliseconds for events, and has their sources take them, with all that wait already.
 func (l *Loop) poll(wait int) error {
 	for range mostPolls {
-		n, err := unix.EpollWait(l.ep, l.events[:], wait)
+		n, err := l.system.Wait(l.ep, l.events[:], wait)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll: %w", err)
 		}
@@ -202,7 +207,7 @@
 
 func (l *Loop) watch(fd int, events uint32, s source) (slots.ID, error) {
 	id := l.sources.Add(s)
-	if err := unix.EpollCtl(l.ep, unix.EPOLL_CTL_ADD, fd, event(events, id)); err != nil {
+	if err := l.system.Control(l.ep, unix.EPOLL_CTL_ADD, fd, event(events, id)); err != nil {
 		l.sources.Remove(id)
 		return 0, fmt.Errorf("epoll: %w", err)
 	}
@@ -236,7 +241,7 @@
 // Listen accepts on the address. At a limit, a connection that is not worked on is shed
 // for the new one; while there is none, further ones wait with the kernel.
 func (l *Loop) Listen(address string, limits Limits, accept func(*Conn)) (*Listener, error) {
-	fd, addr, err := socket(address)
+	fd, addr, err := l.socket(address)
 	if err != nil {
 		return nil, err
 	}
@@ -313,35 +318,64 @@
 // Open is the number of connections held.
 func (ln *Listener) Open() int { return ln.open }
 
+// purpose is what a connection is ended for.
+type purpose uint8
+
+const (
+	forNewcomer   purpose = iota // another connection takes its place
+	forDescriptor                // descriptors have run out: a first message that lies unread, or is on its way, is spared
+)
+
+// newcomer is how long a connection counts as just opened. Hazard: a client whose every connection is ended
+// before its request comes is never served.
+const newcomer = 100 * time.Millisecond
+
 // least is the connection that is worth least: of the lowest standing, the one that has
-// been quiet longest. It is nil if all are worked on.
+// been quiet longest. It is nil if all are worked on, or spared.
 //
 // Hazard: those who open connections and say nothing, or ask once and stay, keep out
 // clients and the next hops' call-backs.
-func (ln *Listener) least(but *Conn) (least *Conn) {
+func (ln *Listener) least(but *Conn, why purpose) (least *Conn) {
 	now := ln.loop.Now()
 	for _, s := range ln.loop.sources.All {
 		c, ok := s.(*Conn)
-		if !ok || c.from != ln || c == but || c.standing == taken {
-			continue
-		}
-		if c.Unsent() > 0 && now-c.heard < slowest {
-			continue // an answer is on its way
-		}
-		if c.standing == idle && c.Pending() {
-			continue // hazard: a request that has come, and would be lost unread
-		}
-		if least == nil || c.standing < least.standing ||
-			c.standing == least.standing && c.heard < least.heard {
+		if ok && c.from == ln && c != but && (least == nil || c.lessThan(least)) && c.sheddable(now, why) {
 			least = c
 		}
 	}
+	if why == forDescriptor && least != nil && least.standing == unproven && now-least.began < newcomer {
+		return nil // its first message is on its way; nor does one that has proven itself give way to it
+	}
 	return least
 }
 
+// lessThan reports whether a connection is worth less than another.
+func (c *Conn) lessThan(other *Conn) bool {
+	if c.standing != other.standing {
+		return c.standing < other.standing
+	}
+	return c.heard < other.heard
+}
+
+// sheddable reports whether a connection may be ended for the room that it takes.
+func (c *Conn) sheddable(now time.Duration, why purpose) bool {
+	if c.Unsent() > 0 && now-c.heard < slowest {
+		return false // an answer is on its way
+	}
+	switch c.standing {
+	case unproven:
+		return why == forNewcomer || !c.Unread()
+	case idle:
+		return !c.Pending() // hazard: a request that has come, and would be lost unread
+	case taken:
+		return false
+	}
+	return true
+}
+
 // shed ends the least connection and reports whether there was one.
-func (ln *Listener) shed(but *Conn) bool {
-	c := ln.least(but)
+func (ln *Listener) shed(but *Conn, why purpose) bool {
+	c := ln.least(but, why)
 	if c != nil {
 		c.end(errShed)
 	}
@@ -349,14 +383,14 @@
 }
 
 // free makes one descriptor free, at whatever listener, and reports whether it could.
-func (l *Loop) free() bool {
-	return slices.ContainsFunc(l.inlets, func(ln *Listener) bool { return ln.shed(nil) })
+func (l *Loop) free(why purpose) bool {
+	return slices.ContainsFunc(l.inlets, func(ln *Listener) bool { return ln.shed(nil, why) })
 }
 
 // fit makes room for so many bytes, if need be at the cost of other connections.
 func (ln *Listener) fit(bytes int, but *Conn) bool {
 	for ln.bytes+bytes > ln.limits.Bytes {
-		if !ln.shed(but) {
+		if !ln.shed(but, forNewcomer) {
 			return false
 		}
 	}
@@ -366,39 +400,31 @@
 func (ln *Listener) ready(uint32) {
 	for range 64 { // then others have their turn
 		full := ln.open >= ln.limits.Connections
-		if full && ln.least(nil) == nil {
+		if full && ln.least(nil, forNewcomer) == nil {
 			ln.pause(true)
 			return
 		}
-		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := ln.loop.system.Accept(ln.fd)
 		switch {
 		case err == nil:
 		case errors.Is(err, unix.EAGAIN):
 			return
-		case scarce(err):
-			if ln.shed(nil) || ln.loop.free() {
-				continue
-			}
-			// The level-triggered event would spin the loop. The connection waits with the
-			// kernel; look again when some descriptors may be free.
-			ln.pause(true)
-			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
-			return
-		case broken(err):
-			continue // that connection broke before it was taken
+		case broken(err), scarce(err) && (ln.shed(nil, forDescriptor) || ln.loop.free(forDescriptor)):
+			continue // that connection broke before it was taken, or there is room for it now
 		default:
-			// Hazard: an error that stays, for the event is level-triggered, too.
+			// The connection waits with the kernel. Some descriptors may be free soon; an error that stays
+			// must not spin the loop either.
 			ln.pause(true)
-			ln.loop.After(20*time.Millisecond, func() { ln.pause(false) })
+			ln.loop.After(retryPause, func() { ln.pause(false) })
 			return
 		}
 		c, err := ln.loop.adopt(fd, false)
 		if err != nil {
-			unix.Close(fd)
+			_ = ln.loop.system.Close(fd)
 			continue
 		}
 		if full {
-			ln.shed(c)
+			ln.shed(c, forNewcomer)
 		}
 		ln.open++
 		c.from, c.standing, c.heard = ln, unproven, ln.loop.Now()
@@ -407,34 +433,26 @@
 	}
 }
 
-// broken says that one connection broke before it was accepted, as Linux lists the errors.
-func broken(err error) bool {
-	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT,
-		unix.ENETDOWN, unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.ENETUNREACH,
-		unix.EOPNOTSUPP, unix.ETIMEDOUT, unix.EPERM} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
-// scarce says that descriptors, or the kernel's memory, have run out.
-func scarce(err error) bool {
-	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
-		errors.Is(err, unix.ENOMEM)
-}
-
 func (ln *Listener) pause(on bool) {
 	if ln.paused == on || ln.held || ln.fd < 0 {
 		return
 	}
 	ln.paused = on
+	ln.control()
+}
+
+// control tells epoll whether connections are to be reported now.
+func (ln *Listener) control() {
+	if ln.fd < 0 {
+		return
+	}
 	events := uint32(unix.EPOLLIN)
-	if on {
+	if ln.paused {
 		events = 0
 	}
-	_ = unix.EpollCtl(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, event(events, ln.id))
+	if ln.loop.system.Control(ln.loop.ep, unix.EPOLL_CTL_MOD, ln.fd, event(events, ln.id)) != nil {
+		ln.loop.After(retryPause, ln.control) // hazard: unheard of, connections would wait for ever
+	}
 }
 
 // Close stops listening; connections taken stay.
@@ -450,7 +468,7 @@
 }
 
 // socket makes a socket for the address, to be bound or connected.
-func socket(address string) (int, unix.Sockaddr, error) {
+func (l *Loop) socket(address string) (int, unix.Sockaddr, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return -1, nil, fmt.Errorf("address %q: %w", address, err)
@@ -458,7 +476,7 @@
 	if !ap.Addr().Unmap().Is4() {
 		return -1, nil, fmt.Errorf("address %q: only IPv4 is spoken", address)
 	}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Socket()
 	if err != nil {
 		return -1, nil, fmt.Errorf("socket: %w", err)
 	}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -18,6 +18,7 @@
 
 	"moorstack/internal/core"
 	"moorstack/internal/net"
+	"moorstack/internal/net/kernel"
 )
 
 // agent stands for discovery, or for its agent beside the node: it has one worker, in one state.
@@ -132,11 +133,18 @@
 
 // follower is a front that follows the agent's list.
 func follower(t *testing.T, mode string, a *agent) *Front {
+	t.Helper()
+	return followerOn(t, kernel.Linux{}, mode, a)
+}
+
+// followerOn is follower on another system in the kernel's place.
+func followerOn(t *testing.T, system kernel.System, mode string, a *agent) *Front {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	cfg := configOf(t, file, mode, a)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	loop, err := net.New()
+	loop, err := net.NewOn(system)
 	if err != nil {
 		t.Fatal(err)
 	}
