--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -348,3 +348,31 @@
 	conn.Use(len(conn.In()))
 }
 func (c *collector) Ended(*Conn, error) { c.whole <- c.text.String() }
+
+// Descriptors have run out when a connection comes, and the first message of another one, opened a while ago,
+// lies unread: that one is not ended for the new one.
+func TestFirstMessageUnreadWhileDescriptorsRunOut(t *testing.T) {
+	system := faultnet.New(nil)
+	loop, address := faultyInlet(t, system, Limits{Connections: 32, Bytes: 1 << 20, Patience: time.Minute})
+	c := dialed(t, address)
+	for system.Open() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	held, free := make(chan struct{}), make(chan struct{})
+	loop.Post(func() { close(held); <-free })
+	<-held
+	system.Follow(func(made faultnet.Call, n int) error {
+		if made == faultnet.Accept && n == 1 {
+			return unix.EMFILE
+		}
+		return nil
+	})
+	time.Sleep(newcomer)
+	newer := dialed(t, address) // the loop is told of it first
+	fmt.Fprintln(newer, "hello")
+	time.Sleep(10 * time.Millisecond)
+	fmt.Fprintln(c, "first")
+	close(free)
+	wantOK(t, c, "the message that lay unread")
+	wantOK(t, newer, "the new connection's")
+}
