Pass spans, and times on one clock, from a process to the one that takes its place

Found by reading each use of wall time in the node: the loop's clock goes on by itself, but from what the wall clock showed at the process's start. A process that takes another's place got the deadlines of open jobs, bans, cold workers' sends and what was learned as times of the old one's clock. After a step between the two starts a job was failed at once (step forward), or its client never answered (step back). Nothing else in the platform's node uses wall time but workers' starts, which are judged already, and log lines.

Jobs pass with the time that is left now; the state tells the sender's clock, is moved by the difference where that is 0.25 s or more (a message's way is no step), and tells workers' starts as the old process knew them. Older processes' messages are taken as before.

A wall clock that is really stepped under processes was not played here.

--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -61,6 +61,41 @@
 	Known      []string        `json:"known"`     // next hops that were ever listed
 	Bans       []Ban           `json:"bans"`
 	Module     brain.Memory    `json:"module"`
+	// Now is the sender's clock as it sent this; 0: an older process did not say. Times here are by it.
+	Now    time.Duration    `json:"now,omitempty"`
+	Starts map[string]Start `json:"starts,omitempty"` // of workers, by their names
+}
+
+// Start is when a worker started, in its own words and by the sender's clock.
+type Start struct {
+	Said time.Duration `json:"said"`
+	At   time.Duration `json:"at"`
+}
+
+// leastStep is the least difference of two processes' clocks that is taken for a step of the wall clock between
+// their starts, and not for the time that a message took.
+const leastStep = 250 * time.Millisecond
+
+// Rebase turns the times of the state into times of the receiver's clock, which shows now.
+//
+// Hazard: a process's clock goes on by itself from what the wall clock showed at its start. Where that was
+// stepped meanwhile, the two processes' clocks differ for good.
+func (s *State) Rebase(now time.Duration) {
+	by := now - s.Now
+	if s.Now == 0 || by.Abs() < leastStep {
+		return
+	}
+	for i := range s.Bans {
+		b := &s.Bans[i]
+		b.Since += by
+		if b.Ended > 0 {
+			b.Ended += by
+		}
+	}
+	for name, start := range s.Starts {
+		s.Starts[name] = Start{start.Said, start.At + by}
+	}
+	s.Module.Shift(by)
 }
 
 // Ban is an operators' word on a next hop.
@@ -75,7 +110,8 @@
 type Job struct {
 	ID    string        `json:"id"`
 	Class int           `json:"class"`
-	Until time.Duration `json:"until"` // when its client gives up
+	Until time.Duration `json:"until"` // when its client gives up, by the sender's clock
+	Left  time.Duration `json:"left"`  // how long that is from when this is sent
 	Hops  []string      `json:"hops"`  // that have it
 }
 
--- /dev/null
+++ b/internal/handover/rebase_test.go
@@ -0,0 +1,75 @@
+package handover
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"moorstack/brain"
+)
+
+// stateAt is a state with a time in every place that has one, all a minute before the sender's clock.
+func stateAt(now time.Duration) *State {
+	at := now - time.Minute
+	return &State{Now: now, Bans: []Ban{{Name: "a", Out: true, Since: at}, {Name: "b", Since: at, Ended: at}},
+		Starts: map[string]Start{"a": {Said: 7, At: at}},
+		Module: brain.Memory{WaitT: at, Surveyed: at, Allowances: []brain.Allowed{{Left: 3, At: at}},
+			Workers: map[brain.WorkerID]brain.WorkerMemory{1: {Pace: 1, WaitT: at, IllT: at, Since: at,
+				Sent: []brain.Spent{{At: at, Work: 2}}}}}}
+}
+
+// The wall clock is stepped between the starts of two processes of a node, by seconds or an hour, either way: what
+// one passes to the other happened as long ago by that one's clock. A message's way is no step.
+func TestRebase(t *testing.T) {
+	const now = 1000 * time.Hour
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		got, want := stateAt(now), stateAt(now+step)
+		got.Rebase(now + step)
+		got.Now = want.Now
+		if !reflect.DeepEqual(got, want) {
+			a, _ := json.Marshal(got)
+			b, _ := json.Marshal(want)
+			t.Errorf("stepped by %v:\n%s, want\n%s", step, a, b)
+		}
+	}
+	got := stateAt(now)
+	got.Rebase(now + leastStep/2)
+	if !reflect.DeepEqual(got, stateAt(now)) {
+		t.Error("the time that the message took was taken for a step")
+	}
+	older := stateAt(now)
+	older.Now = 0
+	older.Rebase(now + time.Hour)
+	if older.Bans[0].Since != now-time.Minute {
+		t.Error("the times of a process that tells no clock were moved")
+	}
+}
+
+// Every time that the module's memory holds is moved: a new one must be, too.
+func TestEveryTimeOfTheMemoryIsMoved(t *testing.T) {
+	var walk func(v reflect.Value, path string)
+	walk = func(v reflect.Value, path string) {
+		switch {
+		case v.Type() == reflect.TypeFor[time.Duration]():
+			if got := time.Duration(v.Int()); got != 100*time.Hour-time.Minute+time.Hour {
+				t.Errorf("%s is %v", path, got)
+			}
+		case v.Kind() == reflect.Struct:
+			for i := range v.NumField() {
+				walk(v.Field(i), path+"."+v.Type().Field(i).Name)
+			}
+		case v.Kind() == reflect.Slice:
+			for i := range v.Len() {
+				walk(v.Index(i), path)
+			}
+		case v.Kind() == reflect.Map:
+			for _, k := range v.MapKeys() {
+				walk(v.MapIndex(k), path)
+			}
+		}
+	}
+	s := stateAt(100 * time.Hour)
+	s.Rebase(101 * time.Hour)
+	walk(reflect.ValueOf(s.Module), "Memory")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,8 +117,8 @@
 	)
 	if offered != nil {
 		cfg.GoBy(offered.State.Discovery, offered.State.Written)
-		err = n.front.OpenOn(c, offered.Listen, offered.State.Generation, offered.State.Instances,
-			passed(offered.State))
+		offered.State.Rebase(n.loop.Now())
+		err = n.front.OpenOn(c, offered.Listen, offered.State, passed(offered.State))
 	} else {
 		err = n.front.Open(c)
 	}
--- a/internal/node/upgrade.go
+++ b/internal/node/upgrade.go
@@ -194,7 +194,8 @@
 	if err != nil {
 		return err
 	}
-	s := &handover.State{Generation: generation, Instances: list, Known: passed.Known, Module: passed.Module}
+	s := &handover.State{Generation: generation, Instances: list, Known: passed.Known, Module: passed.Module,
+		Now: u.loop.Now(), Starts: u.front.Starts()}
 	s.Discovery, s.Written = u.front.Discovery()
 	for name, since := range passed.Bans {
 		s.Bans = append(s.Bans, handover.Ban{Name: name, Out: true, Since: since})
--- a/internal/platform/foster.go
+++ b/internal/platform/foster.go
@@ -42,6 +42,7 @@
 		if !accepted || len(j.Hops) == 0 {
 			continue
 		}
+		j.Left = max(j.Until-f.loop.Now(), 1)
 		if err := give(j, c.conn.FD()); err != nil {
 			f.log.WithError(err).Warn("an open job can't be given to the other process")
 			return given
@@ -61,7 +62,11 @@
 
 // Foster takes an open job with its client's connection.
 func (f *Front) Foster(j *handover.Job, fd int) error {
-	c := &client{front: f, id: j.ID, class: j.Class, waits: true, used: true, until: j.Until,
+	until := j.Until // an older process tells of no span
+	if j.Left > 0 {
+		until = f.loop.Now() + j.Left
+	}
+	c := &client{front: f, id: j.ID, class: j.Class, waits: true, used: true, until: until,
 		foster: &foster{hops: j.Hops}}
 	conn, err := f.listener.Adopt(fd, c)
 	if err != nil {
@@ -70,7 +75,7 @@
 	c.conn = conn
 	f.clients[c] = struct{}{}
 	f.fosters[j.ID] = c
-	c.foster.timer = f.loop.At(j.Until, func() { f.endFoster(c, core.Answer{Kind: core.Failed}) })
+	c.foster.timer = f.loop.At(until, func() { f.endFoster(c, core.Answer{Kind: core.Failed}) })
 	return nil
 }
 
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -6,6 +6,7 @@
 
 	"moorstack/brain"
 	"moorstack/internal/core"
+	"moorstack/internal/handover"
 )
 
 // Beside is the other process of this node, while one takes the other's place.
@@ -151,6 +152,15 @@
 	return f.dir.told.Generation, raw, err
 }
 
+// Starts are the workers' starts, as they are known here.
+func (f *Front) Starts() map[string]handover.Start {
+	starts := make(map[string]handover.Start, len(f.starts.known))
+	for name, s := range f.starts.known {
+		starts[name] = handover.Start{Said: s.said, At: s.at}
+	}
+	return starts
+}
+
 // Discovery is the address of discovery, and the one that the file gave last.
 func (f *Front) Discovery() (address, written string) { return f.cfg.Discovery, f.cfg.written }
 
@@ -164,14 +174,15 @@
 	}
 }
 
-// OpenOn is Open for a process that takes another one's place: with that one's list and
-// listening socket, and what its core has told.
-func (f *Front) OpenOn(c *core.Core, fd int, generation int64, list json.RawMessage, p core.Passed) error {
-	known := routeSet{Generation: generation, Reset: true}
-	if err := json.Unmarshal(list, &known.Instances); err != nil {
+// OpenOn is Open for a process that takes another one's place: with that one's listening socket and state,
+// whose times are by this one's clock, and what its core has told.
+func (f *Front) OpenOn(c *core.Core, fd int, s *handover.State, p core.Passed) error {
+	known := routeSet{Generation: s.Generation, Reset: true}
+	if err := json.Unmarshal(s.Instances, &known.Instances); err != nil {
 		return err
 	}
-	f.cfg.Known, f.dir.told.Generation = known, generation
+	f.starts.recall(s.Starts)
+	f.cfg.Known, f.dir.told.Generation = known, s.Generation
 	f.core, f.shared = c, true
 	f.tell(brain.Cached, &f.cfg.Known)
 	c.Recall(p)
--- a/internal/platform/starts.go
+++ b/internal/platform/starts.go
@@ -1,6 +1,10 @@
 package platform
 
-import "time"
+import (
+	"time"
+
+	"moorstack/internal/handover"
+)
 
 const (
 	// startLag is how much later than a worker's start discovery may tell of it at the most: a worker that
@@ -45,6 +49,14 @@
 	return at
 }
 
+// recall takes over the starts that another process knew.
+func (s *starts) recall(starts map[string]handover.Start) {
+	s.known = make(map[string]start, len(starts))
+	for name, k := range starts {
+		s.known[name] = start{k.Said, k.At}
+	}
+}
+
 // judge takes the later of what the time means before and after the step, if it can be true.
 func (s *starts) judge(said, now, step time.Duration) time.Duration {
 	earliest := time.Duration(0)
