Hold the emulator's cold workers to the rule as it reads now, and keep old modules playable

The model now has the page's bound, in work and in requests of the mean, whichever is reached first: narrower than before for many small jobs, wider for a few.

brain, emulate, handover and versus pass.

--- a/brain/memory.go
+++ b/brain/memory.go
@@ -118,29 +118,6 @@
 	}
 }
 
-// Shift moves all times by so much, for a dispatcher whose clock shows another time.
-func (m *Memory) Shift(by time.Duration) {
-	shift := func(t *time.Duration) {
-		if *t > 0 { // else nothing was seen, or it was long ago
-			*t += by
-		}
-	}
-	shift(&m.WaitT)
-	shift(&m.Surveyed)
-	for i := range m.Allowances {
-		shift(&m.Allowances[i].At)
-	}
-	for id, w := range m.Workers {
-		shift(&w.WaitT)
-		shift(&w.IllT)
-		shift(&w.Since)
-		for i := range w.Sent {
-			shift(&w.Sent[i].At)
-		}
-		m.Workers[id] = w
-	}
-}
-
 // Held gives, by worker, what the dispatcher has unfinished there.
 func (b *Balancer) Held() map[WorkerID]float64 {
 	held := map[WorkerID]float64{}
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -49,6 +49,7 @@
 	told    time.Duration
 	pod     *pod
 	taken   []coldWork
+	jobs    *jobMean // of all workers of its world
 	fell    bool
 	pushed  bool    // and two thirds of what pushed it came from those who knew of its start
 	served  float64 // work done, in seconds at speed 1
@@ -106,7 +107,8 @@
 
 // NewWorker makes a worker that has been up for long.
 func NewWorker(clock *Clock, rng *rand.Rand, name string, spec WorkerSpec) *Worker {
-	return &Worker{Name: name, Spec: spec, clock: clock, rng: rng, slow: 1, report: brain.NoReport}
+	return &Worker{Name: name, Spec: spec, clock: clock, rng: rng, slow: 1, report: brain.NoReport,
+		jobs: &jobMean{}}
 }
 
 // warmth is the part of its capacity that the worker has now.
@@ -210,6 +212,7 @@
 		done(brain.ConnectFailed)
 		return none
 	}
+	w.jobs.add(size)
 	w.cold(size, aware)
 	if w.failing > 0 && w.rng.Float64() < w.failing {
 		done(brain.Error)
@@ -262,8 +265,25 @@
 	}
 }
 
-// cold notes what a cold worker is sent, and has it fall over where that is too much: more
-// than three times what it can do at that moment, for a second. It breaks the rule if two
+// jobMean is the mean work of the jobs that workers were sent.
+type jobMean struct{ work, number float64 }
+
+func (m *jobMean) add(work float64) {
+	m.work += work
+	m.number++
+}
+
+// bears is how many requests of mean work a cold worker bears in a window for which so many are allowed: the
+// rule leaves that much for chance.
+func bears(allowed float64) float64 {
+	if allowed < 30 {
+		return allowed + 3*math.Sqrt(allowed) + 3
+	}
+	return allowed + 2*math.Sqrt(allowed) + 2
+}
+
+// cold notes what a cold worker is sent, and has it fall over where that is too much: three times what it can
+// do at that moment, for a second, in requests of mean work or in that much work. It breaks the rule if two
 // thirds of that came from those who had been told of its start.
 func (w *Worker) cold(size float64, aware bool) {
 	if w.warmth() >= 1 {
@@ -284,8 +304,9 @@
 	}
 	w.taken = keep
 	can := w.warmth() * float64(w.Spec.Cores) * w.Spec.Speed * span.Seconds()
-	// A little slack for chance: a job or two may come at once.
-	if sum > factor*can+2*size && !w.fell {
+	mean := w.jobs.work / w.jobs.number
+	most := bears(factor * can / mean)
+	if (sum/mean > most || float64(len(keep)) > most) && !w.fell {
 		w.Crash()
 		w.fell, w.pushed = true, w.pushed || 3*known >= 2*sum
 	}
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -19,6 +19,7 @@
 	Clock   Clock
 	sc      *Scenario
 	streams Streams
+	sizes   jobMean
 	set     brain.Settings
 	workers []*Worker
 	list    *listService
@@ -73,6 +74,7 @@
 		pods := map[int]*pod{}
 		for range spec.Count {
 			k := NewWorker(&w.Clock, w.streams.Of("worker", n), fmt.Sprintf("w%05d", n), spec.WorkerSpec)
+			k.jobs = &w.sizes
 			k.Zone, k.Kind = slices.Index(w.sc.Zones, spec.Zone), g
 			if size := max(spec.PodSize, 1); w.sc.keyed() {
 				number := n / size
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -95,7 +95,30 @@
 	for name, start := range s.Starts {
 		s.Starts[name] = Start{start.Said, start.At + by}
 	}
-	s.Module.Shift(by)
+	shift(&s.Module, by)
+}
+
+// shift moves all times of a module's memory by so much. Those that are not set were never, or long ago.
+func shift(m *brain.Memory, by time.Duration) {
+	move := func(t *time.Duration) {
+		if *t > 0 {
+			*t += by
+		}
+	}
+	move(&m.WaitT)
+	move(&m.Surveyed)
+	for i := range m.Allowances {
+		move(&m.Allowances[i].At)
+	}
+	for id, w := range m.Workers {
+		move(&w.WaitT)
+		move(&w.IllT)
+		move(&w.Since)
+		for i := range w.Sent {
+			move(&w.Sent[i].At)
+		}
+		m.Workers[id] = w
+	}
 }
 
 // Ban is an operators' word on a next hop.
