--- a/brain/slowstart.go
+++ b/brain/slowstart.go
@@ -45,8 +45,8 @@
 	return max(sum, number*mean) <= part*turn.used*float64(turn.windows)
 }
 
-// coldPart is this dispatcher's part of the work that a cold worker bears in one window, with half of what the
-// rule leaves for chance.
+// coldPart is this dispatcher's part of the work that a cold worker bears in one window, with half of what
+// the rule leaves for chance.
 func (b *Balancer) coldPart(w *worker, warmth, mean float64) float64 {
 	rules := &b.set.Rules
 	part := rules.OverloadFactor * warmth * b.warmRate(w.Kind) * rules.Fall.Seconds()
--- a/cmd/moorstack/endings_test.go
+++ b/cmd/moorstack/endings_test.go
@@ -74,7 +74,8 @@
 	eventually(t, "the job is out", func() bool { return w.calls("POST") == 1 })
 	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
 	c.want(502, "")
-	if took := time.Since(sent); took < patience-100*time.Millisecond || took > patience+500*time.Millisecond {
+	took := time.Since(sent)
+	if took < patience-100*time.Millisecond || took > patience+500*time.Millisecond {
 		t.Errorf("the final answer comes after %v, of %v", took, patience)
 	}
 	c.Close()
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -308,9 +308,9 @@
 	}
 }
 
-// Twelve nodes share the budget of each cold worker, and take turns. The first eight storms pushed one over, by
-// an older and narrower rule, while turns and the others' steady parts did not fit into a window together. The
-// others do, by the rule of today, where turns are not kept or each node's part is three times as much.
+// Twelve nodes share the budget of each cold worker, and take turns. The first eight storms pushed one over,
+// by an older and narrower rule, while turns and the others' steady parts did not fit into a window together.
+// The others do, by the rule of today, where turns are not kept or each node's part is three times as much.
 func TestStormsOfManyNodes(t *testing.T) {
 	const file = "../../experiments/small.toml"
 	raw, err := os.ReadFile(file)
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -72,8 +72,8 @@
 	At   time.Duration `json:"at"`
 }
 
-// leastStep is the least difference of two processes' clocks that is taken for a step of the wall clock between
-// their starts, and not for the time that a message took.
+// leastStep is the least difference of two processes' clocks that is taken for a step of the wall clock
+// between their starts, and not for the time that a message took.
 const leastStep = 250 * time.Millisecond
 
 // Rebase turns the times of the state into times of the receiver's clock, which shows now.
--- a/internal/handover/rebase_test.go
+++ b/internal/handover/rebase_test.go
@@ -19,8 +19,8 @@
 				Sent: []brain.Spent{{At: at, Work: 2}}}}}}
 }
 
-// The wall clock is stepped between the starts of two processes of a node, by seconds or an hour, either way: what
-// one passes to the other happened as long ago by that one's clock. A message's way is no step.
+// The wall clock is stepped between the starts of two processes of a node, by seconds or an hour, either way:
+// what one passes to the other happened as long ago by that one's clock. A message's way is no step.
 func TestRebase(t *testing.T) {
 	const now = 1000 * time.Hour
 	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -200,8 +200,8 @@
 // A message comes whole while the loop is held up, beyond the time by which it had to come: it is read first,
 // and answered.
 func TestWhatHasComeGoesBeforeItsDeadline(t *testing.T) {
-	loop, _, address, conns := inlet(t, Limits{Connections: 8, Bytes: 1 << 20, Patience: 100 * time.Millisecond},
-		false)
+	limits := Limits{Connections: 8, Bytes: 1 << 20, Patience: 100 * time.Millisecond}
+	loop, _, address, conns := inlet(t, limits, false)
 	c := dialed(t, address)
 	<-conns
 	held, free := make(chan struct{}), make(chan struct{})
--- a/internal/net/kernel/kernel.go
+++ b/internal/net/kernel/kernel.go
@@ -1,5 +1,5 @@
-// Package kernel has the system calls that the loop makes for its sockets, behind one interface, so that tests
-// can have them fail.
+// Package kernel has the system calls that the loop makes for its sockets, behind one interface, so that
+// tests can have them fail.
 package kernel
 
 import (
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -136,8 +136,8 @@
 
 // Run serves until Stop.
 //
-// Hazard: the process is held up, and an answer or a request lies unread when a deadline for it has passed. So
-// whatever had come by the time at which deadlines are judged is taken before them.
+// Hazard: the process is held up, and an answer or a request lies unread when a deadline for it has passed.
+// So whatever had come by the time at which deadlines are judged is taken before them.
 func (l *Loop) Run() error {
 	for !l.stopped {
 		if err := l.poll(l.wait()); err != nil {
@@ -322,8 +322,10 @@
 type purpose uint8
 
 const (
-	forNewcomer   purpose = iota // another connection takes its place
-	forDescriptor                // descriptors have run out: a first message that lies unread, or is on its way, is spared
+	// forNewcomer: another connection takes its place.
+	forNewcomer purpose = iota
+	// forDescriptor: descriptors have run out. A first message that lies unread, or is on its way, is spared.
+	forDescriptor
 )
 
 // newcomer is how long a connection counts as just opened. Hazard: a client whose every connection is ended
--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -129,7 +129,8 @@
 	for call, err := range map[faultnet.Call]error{faultnet.Write: unix.EAGAIN, faultnet.Accept: unix.EIO} {
 		t.Run(string(call), func(t *testing.T) {
 			t.Parallel()
-			failing, changes := faultnet.Sometimes(call, err), faultnet.Sometimes(faultnet.Control, unix.ENOMEM)
+			failing := faultnet.Sometimes(call, err)
+			changes := faultnet.Sometimes(faultnet.Control, unix.ENOMEM)
 			system := faultnet.New(func(made faultnet.Call, n int) error {
 				return cmp.Or(failing(made, n), changes(made, n))
 			})
@@ -188,7 +189,8 @@
 		t.Run(string(call), func(t *testing.T) {
 			t.Parallel()
 			system := faultnet.New(nil)
-			_, address := faultyInlet(t, system, Limits{Connections: 32, Bytes: 1 << 20, Patience: time.Minute})
+			limits := Limits{Connections: 32, Bytes: 1 << 20, Patience: time.Minute}
+			_, address := faultyInlet(t, system, limits)
 			c := dialed(t, address)
 			fmt.Fprintln(c, "before")
 			wantOK(t, c, "before")
@@ -272,8 +274,8 @@
 	loop, address := faultyInlet(t, system, Limits{Connections: 32, Bytes: 1 << 20})
 	for call, failures := range map[faultnet.Call][]error{
 		faultnet.Socket: {unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EACCES},
-		faultnet.Connect: {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ECONNREFUSED, unix.EAGAIN, unix.ETIMEDOUT,
-			unix.EPERM, unix.ENOBUFS},
+		faultnet.Connect: {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ECONNREFUSED, unix.EAGAIN,
+			unix.ETIMEDOUT, unix.EPERM, unix.ENOBUFS},
 	} {
 		for _, fault := range failures {
 			system.Follow(func(made faultnet.Call, _ int) error {
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -109,7 +109,8 @@
 	return c.waits || c.relayed || c.conn.Unsent() > 0 || !c.hop && c.conn.Unread()
 }
 
-// mayYetAsk says whether a request is on its way: a part of it has come, or it would be the connection's first.
+// mayYetAsk says whether a request is on its way: a part of it has come, or it would be the connection's
+// first.
 func (c *client) mayYetAsk(now time.Duration) bool {
 	fresh := !c.used && now < c.opened+drain.Notice
 	return !c.hop && (fresh || c.conn.Pending())
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -69,8 +69,8 @@
 	for call, failures := range map[faultnet.Call][]error{
 		faultnet.Accept: {unix.ECONNABORTED, unix.EINTR, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
 		faultnet.Socket: {unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM},
-		faultnet.Connect: {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT, unix.EAGAIN,
-			unix.EINTR},
+		faultnet.Connect: {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT,
+			unix.EAGAIN, unix.EINTR},
 		faultnet.Wait:    {unix.EINTR},
 		faultnet.Control: {unix.ENOMEM},
 		faultnet.Read:    {unix.EINTR, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM},
--- a/internal/platform/foster_test.go
+++ b/internal/platform/foster_test.go
@@ -12,8 +12,8 @@
 	"moorstack/internal/handover"
 )
 
-// A job comes from a process whose clock is an hour ahead or behind, since the wall clock was stepped between the
-// two processes' starts: its client has the time that it had left, no more and no less.
+// A job comes from a process whose clock is an hour ahead or behind, since the wall clock was stepped between
+// the two processes' starts: its client has the time that it had left, no more and no less.
 func TestJobOfAProcessWithAnotherClock(t *testing.T) {
 	const left = 600 * time.Millisecond
 	for name, ahead := range map[string]time.Duration{"ahead": time.Hour, "behind": -time.Hour, "alike": 0} {
@@ -23,7 +23,8 @@
 			done, late := given(t, f, "done", ahead, left), given(t, f, "late", ahead, left)
 			began := time.Now()
 			time.AfterFunc(left/2, func() {
-				f.loop.Post(func() { f.event([]byte(`{"id":"done","from":"s-2","state":"done","result":"r"}`)) })
+				word := []byte(`{"id":"done","from":"s-2","state":"done","result":"r"}`)
+				f.loop.Post(func() { f.event(word) })
 			})
 			if got := status(t, done); got != http.StatusOK {
 				t.Errorf("the job that is done in time gets %d", got)
@@ -31,7 +32,8 @@
 			if got := status(t, late); got != http.StatusBadGateway {
 				t.Errorf("the one that is not gets %d", got)
 			}
-			if took := time.Since(began); took < left-100*time.Millisecond || took > left+500*time.Millisecond {
+			took := time.Since(began)
+			if took < left-100*time.Millisecond || took > left+500*time.Millisecond {
 				t.Errorf("its answer comes after %v, of %v", took, left)
 			}
 		})
--- a/internal/platform/moments_test.go
+++ b/internal/platform/moments_test.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// The worker is told of a little less than its client has left: the answer takes its way back, and the process
-// may be held up before it writes.
+// The worker is told of a little less than its client has left: the answer takes its way back, and the
+// process may be held up before it writes.
 func TestDeadlineToldKeepsSomeBack(t *testing.T) {
 	t.Parallel()
 	told := make(chan string, 1)
