--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -138,20 +138,6 @@
 	return c, nil
 }
 
-// WriteFDs sends p with descriptors, which the peer gets as its own. The connection must
-// be a Unix socket on which no output waits.
-func (c *Conn) WriteFDs(p []byte, fds ...int) error {
-	if c.closed || c.Unsent() > 0 {
-		return errors.New("the connection can't take descriptors now")
-	}
-	n, err := unix.SendmsgN(c.fd, p, unix.UnixRights(fds...), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
-	if err != nil {
-		return err
-	}
-	c.Write(p[n:])
-	return nil
-}
-
 // In is the unread input; it is good until the next Write, Use or return to the loop.
 func (c *Conn) In() []byte { return c.buf[:c.mid] }
 
@@ -267,50 +253,6 @@
 	}
 }
 
-// Pending says that input has come which has not been used, read or unread.
-func (c *Conn) Pending() bool { return c.mid > 0 || c.Unread() }
-
-// Unread says that input lies with the kernel.
-func (c *Conn) Unread() bool {
-	if c.closed {
-		return false
-	}
-	n, _ := c.peek()
-	return n > 0
-}
-
-// peek looks whether input has come: n is more than 0 if so.
-func (c *Conn) peek() (n int, err error) {
-	var one [1]byte
-	for {
-		if n, err = c.loop.system.Peek(c.fd, one[:]); !errors.Is(err, unix.EINTR) {
-			return n, err
-		}
-	}
-}
-
-// PeerClosed looks whether the peer has closed the connection, without waiting for the loop to tell and
-// whatever input lies before the end.
-func (c *Conn) PeerClosed() bool {
-	if c.closed {
-		return true
-	}
-	const ends = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	state := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(state, 0)
-	return err == nil && n > 0 && state[0].Revents&ends != 0
-}
-
-// Stale looks whether a connection that should be idle has ended, or holds
-// something unasked for, without waiting for the loop to tell.
-func (c *Conn) Stale() bool {
-	if c.closed || c.mid > 0 {
-		return true
-	}
-	n, err := c.peek()
-	return n > 0 || !errors.Is(err, unix.EAGAIN)
-}
-
 // Close ends the connection at once, and drops output that waits. The input stays
 // readable.
 func (c *Conn) Close() {
@@ -496,47 +438,6 @@
 	}
 }
 
-// receive reads, and takes the descriptors that come along, where they are wanted.
-func (c *Conn) receive(p []byte) (int, error) {
-	if !c.Passing {
-		return c.loop.system.Read(c.fd, p)
-	}
-	var oob [64]byte
-	n, on, _, _, err := unix.Recvmsg(c.fd, p, oob[:], unix.MSG_CMSG_CLOEXEC)
-	if err != nil || on == 0 {
-		return n, err
-	}
-	messages, err := unix.ParseSocketControlMessage(oob[:on])
-	for i := range messages {
-		if fds, err := unix.ParseUnixRights(&messages[i]); err == nil {
-			c.fds = append(c.fds, fds...)
-		}
-	}
-	return n, err
-}
-
-// TakeFD gives the descriptor that came first and was not taken yet; the caller owns it.
-func (c *Conn) TakeFD() (int, bool) {
-	if len(c.fds) == 0 {
-		return -1, false
-	}
-	fd := c.fds[0]
-	c.fds = c.fds[1:]
-	return fd, true
-}
-
-// FD is the connection's socket, to be given to another process.
-func (c *Conn) FD() int { return c.fd }
-
-// Detach closes this process's descriptor alone: the connection goes on at another one's.
-func (c *Conn) Detach() {
-	if !c.closed {
-		// Hazard: closed here, it stays in the epoll set for as long as the other has it.
-		_ = unix.EpollCtl(c.loop.ep, unix.EPOLL_CTL_DEL, c.fd, nil)
-		c.Close()
-	}
-}
-
 // end is the end from the other side.
 func (c *Conn) end(err error) {
 	if c.Close(); !c.closing {
