--- /dev/null
+++ b/brain/slowstart_test.go
@@ -0,0 +1,250 @@
+package brain
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Rule 4: a rush on a worker that has just started, for a dispatcher that knows what warm ones bear.
+func TestColdWorkerIsNotRushed(t *testing.T) {
+	set := testSettings()
+	r := newRecorder(t, set)
+	r.members(Whole, fleet(4)...)
+	drive(r, 0, 400, 31*time.Millisecond, NoReport) // four warm workers of capacity 1 bear 0.8 each
+	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now})
+	r.work[200].limit = 1
+	if drive(r, 400, 400, 25*time.Millisecond, NoReport)[200] == 0 {
+		t.Error("the new worker never got a job while it warmed up")
+	}
+	// Hazard: what was sent to it is gone through at each request, and must not grow with its age.
+	sent := r.b.byID[200].sent
+	if from, to := sent[0].at, sent[len(sent)-1].at; to-from >= set.Rules.Fall {
+		t.Errorf("sends over %v are kept, want under a window", to-from)
+	}
+}
+
+// Rule 4 and the release that replaces a whole kind: a dispatcher that has seen only warm workers of
+// another kind gives the new ones work within what the rule allows, not nothing until they are warm.
+func TestColdKindWithoutRecordBorrows(t *testing.T) {
+	set := testSettings()
+	set.Kinds = 2
+	r := newRecorder(t, set)
+	warm := fleet(4)
+	for i := range warm {
+		warm[i].Kind = 1
+	}
+	r.members(Whole, warm...)
+	drive(r, 0, 400, 31*time.Millisecond, NoReport)
+	news := []Worker{{ID: 10, State: Ready, Since: r.now, Size: 1},
+		{ID: 11, State: Ready, Since: r.now, Size: 1}}
+	r.members(Whole, append(warm[:2:2], news...)...) // two of kind 0, never seen, take two places
+	r.work[10].limit, r.work[11].limit = 1, 1
+	// Five seconds: half of Cold, so that no worker of kind 0 is warm meanwhile.
+	if got := drive(r, 400, 160, 31*time.Millisecond, NoReport); got[10]+got[11] == 0 {
+		t.Error("no worker of the kind without a record got a job while it warmed up")
+	}
+}
+
+// Rule 4 where warm workers are far from full on the whole: a cold worker's budget is what warm ones
+// took while they were nearly full, and not only the little that they take on average; it is kept.
+func TestColdBudgetByWhatFullOnesTake(t *testing.T) {
+	r := newRecorder(t, testSettings())
+	r.members(Whole, fleet(4)...)
+	drive(r, 0, 100, 250*time.Millisecond, freeSlots(4)) // four slots each; a tenth of one is taken
+	full := drive(r, 100, 400, 8*time.Millisecond, freeSlots(0))
+	if full[100] == 0 {
+		t.Fatal("the warm workers were never full")
+	}
+	r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+	r.work[200].limit = 4 // slot-seconds a second, when warm: what the recorder holds it to
+	got := drive(r, 500, 200, 5*time.Millisecond, freeSlots(4))[200]
+	if got < 16 {
+		t.Errorf("the cold worker got %d jobs while warm ones were busy; want 16 or more", got)
+	}
+}
+
+// Rule 4 after a flood: how long jobs ran while they waited must not make the budget larger. Recorded
+// while every job took three times its hint, it lets as many jobs in afterwards as one recorded in calm.
+func TestColdBudgetForgetsAFloodsWaits(t *testing.T) {
+	jobs := func(flood float64) (n int) {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		r.b.ratio = flood
+		for i := range 400 {
+			q := &request{Request: hinted(i), class: &r.b.set.Classes[safeClass]}
+			r.b.loads[0].add(r.b.effort(q), 0.1, true)
+		}
+		r.b.ratio = 1
+		r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+		w, q := r.b.byID[200], &request{Request: hinted(400), class: &r.b.set.Classes[safeClass]}
+		for now := r.now + r.set.Rules.Cold/2; r.b.coldRoom(now, w, r.b.effort(q)); n++ {
+			w.sent = append(w.sent, load{now, r.b.effort(q)})
+		}
+		return n
+	}
+	if calm, flood := jobs(1), jobs(3); calm == 0 || flood != calm {
+		t.Errorf("%d jobs by a calm record, %d by a flood's", calm, flood)
+	}
+}
+
+// Rule 4 counts requests: a cold worker's budget for requests far smaller than the mean is no more of them
+// than of usual ones, and for one far larger than the mean it is in its work.
+func TestColdBudgetCountsRequests(t *testing.T) {
+	allowed := func(work float64) (n int) {
+		r := newRecorder(t, testSettings())
+		r.members(Whole, fleet(4)...)
+		r.b.loads[0].add(400, 100, false) // a warm worker finishes the work of four usual requests a second
+		r.b.arrived, r.b.efforts = 100, 100
+		r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now, Size: 1})
+		w := r.b.byID[200]
+		for now := r.now + r.set.Rules.Cold/2; r.b.coldRoom(now, w, work); n++ {
+			w.sent = append(w.sent, load{now, work})
+		}
+		return n
+	}
+	small, usual, large := allowed(0.02), allowed(1), allowed(3)
+	if usual == 0 || small != usual || large*3 > usual {
+		t.Errorf("%d small ones, %d usual ones, %d of three times the mean", small, usual, large)
+	}
+}
+
+// Rule 4 over a whole fleet that sends a cold worker all that it may, at every moment: in no window does it
+// get more requests of mean work than N + 2 root N + 2 (N under 30: 3 root N + 3). And the worker is not left
+// idle: over its warm-up it gets a good part of N, however many dispatchers share it.
+func TestColdWorkerBesideAGreedyFleet(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 8, 32, 150, 300, 900} {
+		// Requests a window, of a warm worker, and the part of N that is to be used at least.
+		for allowed, least := range map[float64]float64{3: 1.2, 12: 0.6, 60: 0.45} {
+			for _, uneven := range []bool{false, true} {
+				most, used := greedy(t, size, allowed, uneven)
+				if most > 0.9 || used < least {
+					t.Errorf("%d dispatchers, N up to %v, uneven %v: %.2f of what the rule bears in the "+
+						"fullest window, want at most 0.9; %.2f of N in all, want at least %.2f", size,
+						allowed, uneven, most, used, least)
+				}
+			}
+		}
+	}
+}
+
+// greedy plays it and gives the fullest window, as a part of what the rule bears, and the part of N that was
+// sent over the whole warm-up.
+func greedy(t *testing.T, size int, allowed float64, uneven bool) (most, used float64) {
+	set := testSettings()
+	set.Fleet = size
+	fall := set.Rules.Fall
+	cold := Worker{ID: 200, State: Ready, Size: 1}
+	var all []*recorder
+	whole, shares := 0.0, make([]float64, size)
+	for i := range shares {
+		shares[i] = 1
+		if uneven {
+			shares[i] = 1 + float64(i*7%5)
+		}
+		whole += shares[i]
+	}
+	for i := range size {
+		set.Me = i
+		r := newRecorder(t, set)
+		cold.Since = r.now
+		r.members(Whole, append(fleet(4), cold)...)
+		rate := allowed / fall.Seconds() / set.Rules.OverloadFactor * shares[i] / whole
+		r.b.loads[0].add(rate*100, 100, false) // a usual request is one unit of work
+		r.b.arrived, r.b.efforts = 100, 100
+		all = append(all, r)
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	const steps = 50 // in a window
+	var sent []time.Duration
+	total, bearable := 0.0, 0.0
+	first := all[0]
+	for now := cold.Since; now < cold.Since+set.Rules.Cold; now += fall / steps {
+		for _, i := range rng.Perm(size) {
+			b := all[i].b
+			w := b.byID[cold.ID]
+			for b.coldRoom(now, w, 1) {
+				w.sent = append(w.sent, load{now, 1})
+				sent = append(sent, now)
+				total++
+			}
+		}
+		for len(sent) > 0 && sent[0] <= now-fall {
+			sent = sent[1:]
+		}
+		n := allowed * first.b.warmth(now, first.b.byID[cold.ID])
+		bears := n + 2*math.Sqrt(n) + 2
+		if n < 30 {
+			bears = n + 3*math.Sqrt(n) + 3
+		}
+		most = max(most, float64(len(sent))/bears)
+		bearable += n / steps
+	}
+	return most, total / bearable
+}
+
+// Without any load seen, a cold worker's budget is nothing.
+func TestColdWorkerWithoutKnowledge(t *testing.T) {
+	r := newRecorder(t, testSettings())
+	list := fleet(2)
+	list[0].Since = r.now
+	r.members(Cached, list...)
+	for i := range 50 {
+		r.request(job(i, safeClass))
+	}
+	for _, s := range r.sends {
+		if s.w == list[0].ID {
+			t.Fatal("a cold worker got a job from a dispatcher that knows nothing")
+		}
+	}
+}
+
+// Rule 4, where a dispatcher's part of a cold worker's budget is less than a job: a long quiet saves nothing
+// up, so that when all other workers go the dispatchers don't all send at once; and yet the worker gets jobs.
+func TestColdTurns(t *testing.T) {
+	const many = 40
+	var ru Rules
+	var at []time.Duration // the sends to the cold worker, by its age
+	for me := range many {
+		set := testSettings()
+		set.Me, set.Fleet, set.Rules.AnswerSlack = me, many, 200*time.Millisecond
+		ru = set.Rules
+		r := newSeeded(t, set, uint64(me))
+		r.members(Whole, fleet(4)...)
+		for i := range 40 { // each bears a fortieth of four warm workers' load of 0.8
+			r.request(hinted(i))
+			r.pass(100 * time.Millisecond)
+			r.end(r.last(), OK)
+			r.pass(1150 * time.Millisecond)
+		}
+		r.members(Changes, Worker{ID: 200, State: Ready, Since: r.now})
+		r.pass(5 * time.Second)
+		r.members(Whole, Worker{ID: 200, State: Ready, Since: r.work[200].Since})
+		for i := range 80 {
+			r.request(hinted(1000 + i))
+			if s := r.last(); !s.ended {
+				at = append(at, r.now-r.work[200].Since)
+				r.end(s, OK)
+			}
+			r.pass(50 * time.Millisecond)
+		}
+	}
+	if len(at) < 10 {
+		t.Errorf("the cold worker got %d jobs from %d dispatchers", len(at), many)
+	}
+	slices.Sort(at)
+	for i, from := range at {
+		n := 0
+		for _, a := range at[i:] {
+			if a-from < ru.Fall {
+				n++
+			}
+		}
+		share := ru.ColdShare + (1-ru.ColdShare)*float64(from)/float64(ru.Cold)
+		if limit := ru.OverloadFactor * share * ru.Fall.Seconds() / 0.1; float64(n) > limit {
+			t.Fatalf("%d jobs in a window from age %v, want at most %.0f", n, from, limit)
+		}
+	}
+}
