--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"moorstack/internal/net/kernel"
 )
 
 // echo takes a line as a message, and answers it when the test says so, or at once.
@@ -40,20 +42,15 @@
 
 func (e *echo) Ended(_ *Conn, err error) { e.ended <- err }
 
-// inlet listens with the limits on a loop of its own; conns has what was accepted.
-func inlet(t *testing.T, limits Limits, slow bool) (loop *Loop, ln *Listener, address string,
-	conns chan *echo) {
+// listening has a loop of its own, on the system, accept on an address with the limits.
+func listening(t *testing.T, system kernel.System, limits Limits, accept func(*Conn)) (loop *Loop, ln *Listener,
+	address string) {
 	t.Helper()
-	loop, err := New()
+	loop, err := NewOn(system)
 	if err != nil {
 		t.Fatal(err)
 	}
-	conns = make(chan *echo, 64)
-	ln, err = loop.Listen("127.0.0.1:0", limits, func(c *Conn) {
-		e := &echo{conn: c, slow: slow, ended: make(chan error, 1)}
-		c.H = e
-		conns <- e
-	})
+	ln, err = loop.Listen("127.0.0.1:0", limits, accept)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,9 +62,25 @@
 	go func() { over <- loop.Run() }()
 	t.Cleanup(func() {
 		loop.Post(loop.Stop)
-		<-over
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+		ln.Close()
+	})
+	return loop, ln, fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+}
+
+// inlet listens with the limits on a loop of its own; conns has what was accepted.
+func inlet(t *testing.T, limits Limits, slow bool) (loop *Loop, ln *Listener, address string,
+	conns chan *echo) {
+	t.Helper()
+	conns = make(chan *echo, 64)
+	loop, ln, address = listening(t, kernel.Linux{}, limits, func(c *Conn) {
+		e := &echo{conn: c, slow: slow, ended: make(chan error, 1)}
+		c.H = e
+		conns <- e
 	})
-	return loop, ln, fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port), conns
+	return loop, ln, address, conns
 }
 
 func dialed(t *testing.T, address string) stdnet.Conn {
--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -31,33 +31,11 @@
 	}
 }
 
-// faultyInlet is inlet on a system whose calls fail.
+// faultyInlet answers lines on a system whose calls fail.
 func faultyInlet(t *testing.T, system *faultnet.System, limits Limits) (loop *Loop, address string) {
 	t.Helper()
-	loop, err := NewOn(system)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln, err := loop.Listen("127.0.0.1:0", limits, func(c *Conn) {
-		c.H = lines{}
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	at, err := unix.Getsockname(ln.FD())
-	if err != nil {
-		t.Fatal(err)
-	}
-	over := make(chan error, 1)
-	go func() { over <- loop.Run() }()
-	t.Cleanup(func() {
-		loop.Post(loop.Stop)
-		if err := <-over; err != nil {
-			t.Error(err)
-		}
-		ln.Close()
-	})
-	return loop, fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	loop, _, address = listening(t, system, limits, func(c *Conn) { c.H = lines{} })
+	return loop, address
 }
 
 // exchanges has clients send lines, some in pieces and some ahead, and wants each answered.
