--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -43,8 +43,8 @@
 func (e *echo) Ended(_ *Conn, err error) { e.ended <- err }
 
 // listening has a loop of its own, on the system, accept on an address with the limits.
-func listening(t *testing.T, system kernel.System, limits Limits, accept func(*Conn)) (loop *Loop, ln *Listener,
-	address string) {
+func listening(t *testing.T, system kernel.System, limits Limits,
+	accept func(*Conn)) (loop *Loop, ln *Listener, address string) {
 	t.Helper()
 	loop, err := NewOn(system)
 	if err != nil {
