Review case 2: a trigger's job runs twice beside a slow worker

A rejection of a keyed class of scope all doesn't prove that the job never ran, and the triggers' retry knows no window.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -39,7 +39,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*rig){
-	"drain": runDrain,
+	"drain":   runDrain,
+	"trigger": runTrigger,
 }
 
 func main() {
