--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -41,6 +41,7 @@
 var cases = map[string]func(*rig){
 	"drain":   runDrain,
 	"trigger": runTrigger,
+	"window":  runWindow,
 }
 
 func main() {
