--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -40,6 +40,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*rig){
 	"drain":   runDrain,
+	"serve":   runServe,
 	"trigger": runTrigger,
 	"window":  runWindow,
 }
--- a/review/rig/trigger.go
+++ b/review/rig/trigger.go
@@ -21,7 +21,9 @@
 // worker of five is slow.
 func runTrigger(r *rig) {
 	p := newPlatform(r, 3, 5, func(int) int { return 1 }, triggerWindow)
-	startGroup(r, p)
+	startGroup(r, p, "100ms",
+		class("trip-quote", "retryable", "all", 5*time.Second, 5*time.Second),
+		class("trip-book", "dedup", "all", triggerDeadline, triggerWindow))
 	var section strings.Builder
 	section.WriteString("\n[section.schedule]\nzone = \"Asia/Muscat\"\n")
 	at := time.Now().UTC().Add(10 * time.Second)
@@ -29,10 +31,8 @@
 		fmt.Fprintf(&section, "\"trigger.standing-%d\" = \"%d %d * * * * zone=UTC class=trip-book "+
 			"path=/standing/%d body=trip-book\"\n", k, at.Second(), at.Minute(), k)
 	}
-	config := r.must("config get --config " + r.dir + "/n1.toml")
-	file := r.write("new.toml", config+section.String())
-	r.must("config propose " + file + " --config " + r.dir + "/n1.toml")
-	r.log("triggers at %v; configuration:\n%s", at, section.String())
+	propose(r, section.String())
+	r.log("the triggers are due at %v", at)
 	if r.trouble {
 		p.mu.Lock()
 		p.workers[0].slowness = slowness
@@ -48,48 +48,7 @@
 	time.Sleep(time.Until(at) + 40*time.Second)
 	r.log("status:\n%s", r.must("cluster status --config "+r.dir+"/n1.toml"))
 	judgeRuns(r, p, triggerWindow)
-	for k := range p.nodes {
-		r.log("log of n%d:\n%s", k+1, r.logOf(fmt.Sprintf("n%d.log", k+1)))
-	}
-}
-
-// startGroup starts a group of three instances, as docs/operators/cluster.md shows.
-func startGroup(r *rig, p *platform) {
-	r.must("keys new-ca --dir " + r.dir + "/keys")
-	var peers [3]string
-	for k, n := range p.nodes {
-		name := fmt.Sprintf("n%d", k+1)
-		p.writeConfig(n, name, settings(3,
-			class("trip-quote", "retryable", "all", 5*time.Second, 5*time.Second),
-			class("trip-book", "dedup", "all", triggerDeadline, triggerWindow)))
-		peers[k] = r.freeAddress()
-		r.must(fmt.Sprintf("keys issue %s --dir %s/keys", name, r.dir))
-		file := r.write(name+".toml", fmt.Sprintf(`name = %q
-data = "data-%[1]s"
-[front]
-platform = "%[1]s.json"
-listen = %[2]q
-discovery = %[3]q
-[peers]
-listen = %[4]q
-tick = "100ms"
-[keys]
-ca = "keys/ca.crt"
-cert = "keys/%[1]s.crt"
-key = "keys/%[1]s.key"
-[control]
-socket = "%[1]s.sock"
-`, name, n.listen, n.discovery, peers[k]))
-		r.start(name+".log", "serve --config "+file)
-	}
-	one := " --config " + r.dir + "/n1.toml"
-	r.must("cluster init" + one)
-	for k := 1; k < len(peers); k++ {
-		r.must(fmt.Sprintf("cluster add n%d %s --promote%s", k+1, peers[k], one))
-	}
-	for _, n := range p.nodes {
-		r.waitHealthy(n.listen)
-	}
+	r.logInstances(len(p.nodes))
 }
 
 // judgeRuns reports the keys that began to run more than once, the later time outside the window.
--- a/review/rig/window.go
+++ b/review/rig/window.go
@@ -9,21 +9,32 @@
 
 const (
 	podWindow    = 25 * time.Second
-	longJob      = 30 * time.Second
-	dieAfter     = 3 * time.Second
+	usualJob     = 1400 * time.Millisecond
+	heavyJob     = 30 * time.Second
+	dieAfter     = time.Second
 	returnsAfter = 20 * time.Second
-	jobDeadline  = 90 // seconds that the producer waits
+	usualJobs    = 20
+	jobDeadline  = 60 // seconds that the producer waits
 )
 
 // faktoryPod is a pod of Faktory workers, which know each other's keys for podWindow.
 type faktoryPod struct {
+	rig    *rig
+	number int
+
 	mu    sync.Mutex
 	known map[string]time.Time // by jid: when it first began
 	runs  []jobRun
 }
 
+// windowCase is a node with five Faktory workers in two pods.
+type windowCase struct {
+	*rig
+	address string
+}
+
 // runWindow lets one Faktory worker of five die with a job of a keyed class, while its pod's other worker is
-// busy for longer than the pod remembers keys.
+// busy with a heavy job for longer than the pod remembers keys.
 func runWindow(r *rig) {
 	p := newPlatform(r, 1, 1, func(int) int { return 1 }, podWindow)
 	n := p.nodes[0]
@@ -33,25 +44,31 @@
 	faktoryFile, address := r.writeFaktory()
 	r.start("n0.log", "--faktory "+faktoryFile, "BALANCER_CONFIG="+config)
 	r.waitHealthy(n.listen)
-	pods := []*faktoryPod{{known: map[string]time.Time{}}, {known: map[string]time.Time{}}}
-	var died sync.Once
-	for k := range 5 {
-		pod := pods[min(k/2, 1)]
-		go faktoryWorker(r, address, k, min(k/2, 1)+1, pod, &died)
+	w := &windowCase{rig: r, address: address}
+	pods := []*faktoryPod{{rig: r, number: 1}, {rig: r, number: 2}}
+	for _, pod := range pods {
+		pod.known = map[string]time.Time{}
 	}
-	time.Sleep(500 * time.Millisecond)
 	producer, err := dialFaktory(address, "")
 	if err != nil {
 		r.cannotRun("Faktory producer: %v", err)
 	}
-	var jids []string
-	for k := range 5 {
-		jid := fmt.Sprintf("booking-%04d", k)
-		jids = append(jids, jid)
-		err := producer.push(jid, "trip-book", jobDeadline, longJob.Seconds())
-		r.log("%s pushed: %v", jid, err)
+	go w.worker("wid-0", pods[0], false)
+	time.Sleep(500 * time.Millisecond)
+	jids := []string{w.push(producer, "heavy-0000", heavyJob)}
+	time.Sleep(500 * time.Millisecond)
+	go w.worker("wid-1", pods[0], r.trouble)
+	time.Sleep(300 * time.Millisecond)
+	for k := range usualJobs {
+		if k == 1 {
+			for m := 2; m < 5; m++ {
+				go w.worker(fmt.Sprintf("wid-%d", m), pods[1], false)
+			}
+		}
+		jids = append(jids, w.push(producer, fmt.Sprintf("booking-%04d", k), usualJob))
+		time.Sleep(400 * time.Millisecond)
 	}
-	time.Sleep(2*longJob + 10*time.Second)
+	time.Sleep(heavyJob)
 	for _, jid := range jids {
 		r.log("%s: %s", jid, producer.state(jid))
 	}
@@ -61,54 +78,55 @@
 	r.log("log of the node:\n%s", r.logOf("n0.log"))
 }
 
-// faktoryWorker fetches one job at a time and runs it. The first worker of the first pod to run a job dies
-// with it if there is trouble, and comes back.
-func faktoryWorker(r *rig, address string, k, number int, pod *faktoryPod, died *sync.Once) {
-	wid := fmt.Sprintf("wid-%d", k)
+func (w *windowCase) push(producer *faktoryPeer, jid string, work time.Duration) string {
+	err := producer.push(jid, "trip-book", jobDeadline, work.Seconds())
+	w.log("%s pushed, %v of work: %v", jid, work, err)
+	return jid
+}
+
+// worker fetches one job at a time and runs it. If it dies, it does so with its first job, and comes back.
+func (w *windowCase) worker(wid string, pod *faktoryPod, dies bool) {
 	for {
-		w, err := dialFaktory(address, wid, fmt.Sprintf("pod:%d", number))
+		peer, err := dialFaktory(w.address, wid, fmt.Sprintf("pod:%d", pod.number))
 		if err != nil {
-			r.log("%s: %v", wid, err)
+			w.log("%s: %v", wid, err)
 			return
 		}
-		r.log("%s, pod %d: connected", wid, number)
+		w.log("%s, pod %d: connected", wid, pod.number)
 		for {
-			jid, work, err := w.fetch()
+			jid, work, err := peer.fetch()
 			if errors.Is(err, errNoJob) {
 				continue
 			} else if err != nil {
-				r.log("%s: %v", wid, err)
+				w.log("%s: %v", wid, err)
 				return
 			}
-			if pod.begin(r, wid, jid) {
-				dies := false
-				if r.trouble && number == 1 {
-					died.Do(func() { dies = true })
-				}
+			if pod.begin(wid, jid) {
 				if dies {
-					time.Sleep(dieAfter)
-					r.log("%s dies, its connection is reset", wid)
-					w.reset()
-					time.Sleep(returnsAfter)
 					break
 				}
 				time.Sleep(work)
 			}
-			r.log("%s: ACK of %s: %v", wid, jid, w.ack(jid))
+			w.log("%s: ACK of %s: %v", wid, jid, peer.ack(jid))
 		}
+		dies = false
+		time.Sleep(dieAfter)
+		w.log("%s dies, its connection is reset", wid)
+		peer.reset()
+		time.Sleep(returnsAfter)
 	}
 }
 
 // begin records that a worker begins a job; it returns false if the pod drops it as a repeat.
-func (p *faktoryPod) begin(r *rig, wid, jid string) bool {
+func (p *faktoryPod) begin(wid, jid string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if first, ok := p.known[jid]; ok && time.Since(first) < podWindow {
-		r.log("%s: %s dropped as a repeat, %.3f s after the first", wid, jid, time.Since(first).Seconds())
+		p.rig.log("%s: %s dropped as a repeat, %.3f s after the first", wid, jid, time.Since(first).Seconds())
 		return false
 	}
 	p.known[jid] = time.Now()
 	p.runs = append(p.runs, jobRun{wid, jid, jid, time.Now()})
-	r.log("%s: %s begins", wid, jid)
+	p.rig.log("%s: %s begins", wid, jid)
 	return true
 }
