--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,6 +42,7 @@
 	"drain":   runDrain,
 	"serve":   runServe,
 	"trigger": runTrigger,
+	"upgrade": runUpgrade,
 	"window":  runWindow,
 }
 
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -58,7 +58,7 @@
 // newPlatform starts the workers and discovery for a number of nodes.
 func newPlatform(r *rig, nodes, workers int, cell func(int) int, window keyWindow) *platform {
 	p := &platform{rig: r, pods: map[int]map[string]time.Time{},
-		http: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+		http: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for k := range workers {
 		p.workers = append(p.workers, &worker{platform: p, name: fmt.Sprintf("s-%08x", 0x5be2a000+k),
 			cell: cell(k), slowness: 1})
