--- a/review/rig/faktory.go
+++ b/review/rig/faktory.go
@@ -91,14 +91,17 @@
 	if err != nil {
 		return "", 0, err
 	}
-	var job struct {
-		JID  string
-		Args []float64
+	var job map[string]any
+	if err := json.Unmarshal([]byte(text), &job); err != nil {
+		return "", 0, err
 	}
-	if err := json.Unmarshal([]byte(text), &job); err != nil || len(job.Args) == 0 {
+	args, _ := job["args"].([]any)
+	if len(args) == 0 {
 		return "", 0, fmt.Errorf("unexpected job %q", text)
 	}
-	return job.JID, time.Duration(job.Args[0] * float64(time.Second)), nil
+	seconds, _ := args[0].(float64)
+	jid, _ = job["jid"].(string)
+	return jid, time.Duration(seconds * float64(time.Second)), nil
 }
 
 func (p *faktoryPeer) ack(jid string) error {
