--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -123,12 +123,20 @@
 	os.Exit(exitCannotRun)
 }
 
-// cleanUp kills the processes that were started and removes the temporary folder. The caller holds the lock
-// and exits.
+// cleanUp kills the processes that were started, waits for their ends and removes the temporary folder. The
+// caller holds the lock and exits.
 func (r *rig) cleanUp() {
 	for _, p := range r.processes {
 		_ = p.Process.Kill()
 	}
+	for _, p := range r.processes {
+		_ = p.Wait() // fails at once if another goroutine waits for it
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if syscall.Kill(p.Process.Pid, 0) != nil {
+				break // it has ended and was waited for
+			}
+		}
+	}
 	_ = os.RemoveAll(r.dir)
 	_ = r.record.Close()
 }
