Drain all fronts at the same time after SIGTERM

Cause: the node drained its fronts one after the other. The HTTP front's drain began only when the Faktory front had no jobs left and every result was read or 3 s old.

Change: node.shutdown starts the drain of every part in the same turn, and stops the loop when the last has drained. As a front may now be done long before the process ends, it closes its remaining connections: a request that became complete later would be accepted and lost at the end. That hole stood open in instances too, which wait for outcomes of triggers after the HTTP front has drained.

--- a/cmd/moorstack/faktory_fixture_test.go
+++ b/cmd/moorstack/faktory_fixture_test.go
@@ -21,11 +21,16 @@
 
 // startFaktoryNode starts a node with the Faktory front and returns that front's address.
 func startFaktoryNode(t *testing.T, extra string) (*nodeFixture, string) {
+	return startFaktoryNodeWithWorkers(t, 0, extra)
+}
+
+// startFaktoryNodeWithWorkers is startFaktoryNode with workers of the platform's front.
+func startFaktoryNodeWithWorkers(t *testing.T, workers int, extra string) (*nodeFixture, string) {
 	addr, file := freeAddress(t), filepath.Join(t.TempDir(), "faktory.toml")
 	check(t, os.WriteFile(file, fmt.Appendf(nil, "listen = %q\npassword = %q\nreserve = %q\n"+
 		"reserve_least = \"100ms\"\n%s\n[classes]\nResize = \"quote\"\n",
 		addr, secret, reservationTime, extra), 0o600))
-	w := startNode(t, 0, completeJob, "-faktory", file)
+	w := startNode(t, workers, completeJob, "-faktory", file)
 	waitListening(t, addr) // opened after the platform front's address
 	return w, addr
 }
--- a/cmd/moorstack/shutdown_test.go
+++ b/cmd/moorstack/shutdown_test.go
@@ -2,13 +2,20 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"moorstack/internal/proxy/drain"
 )
 
+// sigkillAfter is the earliest time after SIGTERM at which the platform sends SIGKILL in a planned restart: the
+// longest deadline, counted as 3 s where it is longer, and 0.7 s.
+const sigkillAfter = 3700 * time.Millisecond
+
 // A client has pipelined two requests when the node receives SIGTERM. Both have been read and are answered;
 // the last response closes the connection.
 func TestPipelinedRequestIsAnsweredWhileDraining(t *testing.T) {
@@ -108,3 +115,57 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a front that serves on after SIGTERM until another front has drained: a worker of the Faktory
+// front holds a job throughout. The HTTP front must fail health checks at once, close its connections and its
+// address when its own work is done, and take nothing from then on; the Faktory job is finished all the same.
+func TestFrontsDrainAtTheSameTime(t *testing.T) {
+	t.Parallel()
+	w, addr := startFaktoryNodeWithWorkers(t, 1, "")
+	worker, producer := connectFaktory(t, addr, "w1"), connectFaktory(t, addr, "")
+	worker.fetch("default")
+	producer.expectReply(pushCommand("job-held", "quote", `,"reserve_for":60,"custom":{"deadline":60}`), "+OK")
+	worker.expectJob("job-held")
+	idle := w.dial()
+	idle.send(jobRequest("a", "quote", "4000m", "x")).expectResponse(200, "did x")
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	signalled := time.Now()
+	eventually(t, "health checks fail", func() bool { return !w.healthy() })
+	if after := time.Since(signalled); after > drain.HealthCheckGrace {
+		t.Errorf("health checks failed %v after SIGTERM, want them to fail at once", after)
+	}
+	request := jobRequest("partial", "quote", "4000m", "xyz")
+	partial := w.dial().send(request[:100])
+	time.Sleep(drain.HealthCheckGrace + 100*time.Millisecond - time.Since(signalled))
+	late := w.dial().send(jobRequest("b", "quote", "4000m", "y"))
+	if resp := late.expectResponse(200, "did y"); !resp.Close {
+		t.Error("a response 0.6 s after SIGTERM does not close its connection")
+	}
+	if _, err := idle.r.ReadByte(); err != io.EOF {
+		t.Errorf("read on an idle connection after SIGTERM: got %v, want EOF", err)
+	}
+	eventually(t, "the HTTP front's address is closed", func() bool {
+		c, err := net.Dial("tcp", w.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if after := time.Since(signalled); after > sigkillAfter {
+		t.Errorf("the HTTP front had drained %v after SIGTERM, when SIGKILL would have come", after)
+	}
+	_, _ = io.WriteString(partial, request[100:]) // fails if the connection is closed already
+	if _, err := partial.r.ReadByte(); err == nil {
+		t.Error("a request that became complete after the HTTP front had drained was answered")
+	}
+	worker.ack("job-held")
+	if got := producer.state("job-held"); got != "success" {
+		t.Errorf("the Faktory job is %q after its ACK, want success", got)
+	}
+	if err := w.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	if n := w.callCount("POST"); n != 2 {
+		t.Errorf("%d requests were forwarded, want the two that were complete", n)
+	}
+}
--- a/internal/frontend/faktory/front.go
+++ b/internal/frontend/faktory/front.go
@@ -9,11 +9,12 @@
 	"moorstack/balancer"
 	"moorstack/internal/netio/eventloop"
 	"moorstack/internal/proxy/broker"
+	"moorstack/internal/proxy/drain"
 	"moorstack/internal/proxy/routing"
 )
 
 const (
-	// drainCheckInterval is how often Drain checks whether all jobs have ended.
+	// drainCheckInterval is how often a graceful shutdown checks whether all jobs have ended.
 	drainCheckInterval = 10 * time.Millisecond
 	// unreadResponseWait is how long after its end a job delays a drain if nobody has read its result.
 	unreadResponseWait = 3 * time.Second
@@ -85,18 +86,33 @@
 // ApplySettings replaces the settings. The classes' new timeouts apply to all further jobs.
 func (f *Front) ApplySettings(set balancer.Settings) { f.settings = set }
 
-// Drain rejects new jobs and waits until all accepted jobs have ended and, for up to unreadResponseWait,
-// until their results have been read. It then closes the listener and calls done.
-func (f *Front) Drain(done func()) {
-	f.draining = true
-	pending := f.broker.PendingCount() > 0
-	for _, j := range f.jobs {
-		pending = pending || j.finished && !j.responseRead && time.Since(j.updatedAt) < unreadResponseWait
+// BeginShutdown begins a graceful shutdown: new jobs are rejected, and done is called once all accepted jobs
+// have ended and, for up to unreadResponseWait, until their results have been read. Results can still be read
+// afterwards, on the connections that are open. Only the first call has an effect.
+func (f *Front) BeginShutdown(done func()) {
+	if !f.draining {
+		f.draining = true
+		f.awaitDrained(done)
 	}
-	if pending {
-		f.loop.After(drainCheckInterval, func() { f.Drain(done) })
+}
+
+// awaitDrained closes the listener and calls done once nothing is pending.
+func (f *Front) awaitDrained(done func()) {
+	if p := f.DrainPending(); p.Jobs > 0 || p.UnreadResults > 0 {
+		f.loop.After(drainCheckInterval, func() { f.awaitDrained(done) })
 		return
 	}
 	f.listener.Close()
 	done()
 }
+
+// DrainPending returns what a graceful shutdown of the front still waits for.
+func (f *Front) DrainPending() drain.Pending {
+	p := drain.Pending{Jobs: f.broker.PendingCount(), Connections: f.listener.OpenCount()}
+	for _, j := range f.jobs {
+		if j.finished && !j.responseRead && time.Since(j.updatedAt) < unreadResponseWait {
+			p.UnreadResults++
+		}
+	}
+	return p
+}
--- a/internal/frontend/platform/drain.go
+++ b/internal/frontend/platform/drain.go
@@ -92,8 +92,9 @@
 	f.loop.After(closeIdleInterval, f.closeIdleClients)
 }
 
-// awaitDrained closes the listener and calls done once the last responses have been sent. The listener stays
-// open until then, since workers call back on it.
+// awaitDrained closes the listener and all connections, and calls done, once the last responses have been
+// sent. The listener stays open until then, since workers call back on it. The process may go on for longer
+// than the front, and a request that it accepted then might not be finished before its end.
 //
 // It waits not only for pending requests. Unread input may be a request that came after the connection was
 // last handled, and a request may still come on a connection that is not accepted yet or was just opened. A
@@ -111,5 +112,14 @@
 		return
 	}
 	f.listener.Close()
+	for c := range f.clients {
+		c.conn.CloseAfterFlush()
+		c.unregister()
+	}
 	done()
 }
+
+// DrainPending returns what a graceful shutdown of the front still waits for.
+func (f *Front) DrainPending() drain.Pending {
+	return drain.Pending{Jobs: f.broker.PendingCount(), Connections: len(f.clients)}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,11 +41,11 @@
 	// (false).
 	OnStandby func(bool)
 
-	loop    *eventloop.Loop
-	log     logrus.FieldLogger
-	front   *platform.Front
-	brokers []frontBroker
-	drain   func(done func())
+	loop     *eventloop.Loop
+	log      logrus.FieldLogger
+	front    *platform.Front
+	brokers  []frontBroker
+	shutdown *shutdown
 
 	memoryLimit int64       // of the garbage collector, in bytes, while this is the node's only process
 	hotRestart  *hotRestart // nil: hot restart is off
@@ -87,17 +87,17 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{loop: loop, log: o.Log, memoryLimit: memoryLimit}
+	n := &Node{loop: loop, log: o.Log, memoryLimit: memoryLimit, shutdown: &shutdown{loop: loop, log: o.Log}}
 	if err := n.openPlatform(o, settings); err != nil {
 		return nil, err
 	}
-	n.drain = n.front.BeginShutdown
+	n.shutdown.add(routing.FrontHTTP, n.front)
 	if o.Faktory != nil {
 		faktoryFront, err := n.openFaktory(o, settings)
 		if err != nil {
 			return nil, err
 		}
-		n.drain = func(done func()) { faktoryFront.Drain(func() { n.front.BeginShutdown(done) }) }
+		n.shutdown.add(routing.FrontFaktory, faktoryFront)
 	}
 	if cfg.AdminAddress != "" {
 		if _, err := adminproto.Listen(loop, cfg.AdminAddress, adminCommands{n}); err != nil {
@@ -216,7 +216,7 @@
 	if n.OnShutdown != nil {
 		n.OnShutdown()
 	}
-	n.drain(n.loop.Stop)
+	n.shutdown.begin(n.loop.Stop)
 }
 
 // idleCheckInterval is how often a node checks whether it is idle.
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -186,8 +186,8 @@
 		go i.tasks.drain()
 	}
 	n.OnStandby = i.tasks.setStandby
-	drain := n.drain
-	n.drain = func(done func()) { drain(func() { i.schedule.awaitDrained(done) }) }
+	// The outcomes of the last occurrences are known once the platform's front has drained.
+	n.shutdown.after(routing.FrontHTTP, i.schedule.awaitDrained)
 	n.OnReload = func() {
 		if err := i.configurator.reloadRoutes(); err != nil {
 			i.log.WithError(err).Error("routing rules not reloaded")
--- a/internal/proxy/drain/drain.go
+++ b/internal/proxy/drain/drain.go
@@ -135,3 +135,10 @@
 
 // ClosingAt returns the time at which Advance should be called.
 func (m *Machine) ClosingAt() time.Duration { return m.closingAt }
+
+// Pending counts what a part of the node that drains still waits for.
+type Pending struct {
+	Jobs          int // without their final response
+	Connections   int // open connections of clients
+	UnreadResults int // results of finished jobs that nobody has read yet
+}
