Read what the other process has sent before its connection is closed

Cause: the new process wrote to the connection between the two after the old one had ended. The event loop reads nothing while output is pending and closed the connection on EPIPE, and the migrated requests that lay unread went with it, with the clients' connections. Evidence: 3 requests migrated, 1 lost, "broken pipe" at the new process and no "migrated request lost", which excludes a failed adoption.

Change: eventloop.Conn.ReadAfterWriteError, set on both ends of that connection: a failed write drops the output only, and OnClose follows the input. The new process logs how many requests it has adopted. Other connections behave as before.

--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -334,3 +334,45 @@
 		t.Errorf("the workers got %d attempts of 4 jobs", n)
 	}
 }
+
+// Guards against requests that are lost with the connection on which they migrate: the new process is held up
+// while the old one migrates its requests and ends, and then first writes to the connection, which fails.
+func TestUpgradeMigratesToAProcessThatIsHeldUp(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	held := make(chan workerCall, 4)
+	o := startNodeWithAdmin(t, 2, func(_ int, s workerCall, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		held <- s
+	})
+	jobs, calls := map[string]*client{}, map[string]workerCall{}
+	submit := func(c *client, id string) {
+		jobs[id] = c.send(jobRequest(id, "book", "60000m", "x"))
+		calls[id] = <-held
+	}
+	finish := func(id string) {
+		t.Helper()
+		if status := o.callBack(id, calls[id].worker.name, "done", "did "+id); status != 204 {
+			t.Errorf("the call-back of %s was answered %d", id, status)
+		}
+		jobs[id].expectResponse(200, "did "+id)
+	}
+	for _, id := range []string{"one", "two", "three"} {
+		submit(o.dial(), id)
+	}
+	next, admin := (&upgradeFixture{adminFixture: o}).startProcess()
+	eventually(t, "the new process is ready", func() bool { return isReady(admin) })
+	kept := o.dial()
+	submit(kept, "warm-up")
+	finish("warm-up")
+	check(t, o.cmd.Process.Signal(syscall.SIGTERM))
+	check(t, next.Process.Signal(syscall.SIGSTOP))
+	// Arrives before the migrated requests. The new process reports its beginning to the old one.
+	jobs["new"] = kept.send(jobRequest("new", "book", "60000m", "x"))
+	check(t, o.cmd.Wait())
+	check(t, next.Process.Signal(syscall.SIGCONT))
+	o.cmd, o.admin = next, admin
+	calls["new"] = <-held
+	for _, id := range []string{"new", "one", "two", "three"} {
+		finish(id)
+	}
+}
--- a/internal/netio/eventloop/conn_events.go
+++ b/internal/netio/eventloop/conn_events.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if c.UnsentBytes() > 0 {
-		if c.flush(); c.closed || c.UnsentBytes() > 0 {
+		if !c.flush() {
 			return
 		}
 	}
@@ -95,19 +95,24 @@
 	return !c.closed
 }
 
-// flush writes pending output.
-func (c *Conn) flush() {
+// flush writes pending output and reports whether nothing is left of it, so that input may be read.
+func (c *Conn) flush() bool {
 	n, err := c.loop.system.Write(c.fd, c.buf[c.inputEnd:])
 	switch {
 	case err == nil:
 	case isRetryable(err):
-		return
+		return false
 	case isResourceExhausted(err):
 		c.pauseEvents()
-		return
+		return false
+	case c.ReadAfterWriteError && !c.finishing:
+		// The input is read at the next event: this one was reported without it.
+		c.buf = c.buf[:c.inputEnd]
+		c.updateInterest()
+		return false
 	default:
 		c.terminate(err)
-		return
+		return false
 	}
 	c.buf = c.buf[:c.inputEnd+copy(c.buf[c.inputEnd:], c.buf[c.inputEnd+n:])]
 	c.updateInterest()
@@ -115,6 +120,7 @@
 	if c.finishing && c.UnsentBytes() == 0 {
 		c.linger()
 	}
+	return !c.closed && c.UnsentBytes() == 0
 }
 
 // read reads available input and passes it to the handler.
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -34,6 +34,7 @@
 	link       *hotrestart.Link    // to the other process; nil: none
 	listener   *eventloop.Listener // to which a child connects; nil: not open
 	inFlight   map[string]float64  // by endpoint, as last sent to the child
+	adopted    int                 // requests that the parent has migrated to this process
 }
 
 var _ platform.PeerProcess = (*hotRestart)(nil)
@@ -139,6 +140,10 @@
 	}
 	h.log.WithError(err).WithField("phase", h.machine.Phase().String()).
 		Info("hot restart: connection to the other process lost")
+	if h.adopted > 0 {
+		h.log.WithField("count", h.adopted).Info("hot restart: in-flight requests adopted")
+		h.adopted = 0
+	}
 	h.step(hotrestart.PeerLost)
 }
 
@@ -217,7 +222,9 @@
 	}
 	if err := h.node.front.AdoptRequest(m.Request, fd); err != nil {
 		h.log.WithError(err).Error("hot restart: migrated request lost")
+		return
 	}
+	h.adopted++
 }
 
 // handleMaintenance applies an operator's command that was given to the other process.
--- a/internal/proxy/hotrestart/link.go
+++ b/internal/proxy/hotrestart/link.go
@@ -10,7 +10,9 @@
 var errMessageTooLong = errors.New("message is longer than 8 MiB")
 
 // Link is one process's end of the connection between the two. It passes each received message to onMessage.
-// It calls onClose once if the other process closes the connection, dies or sends a malformed message.
+// It calls onClose once if the other process closes the connection, dies or sends a malformed message, after
+// all messages that the other process had sent before: they may carry requests whose only owner is now this
+// process.
 type Link struct {
 	conn      *eventloop.Conn
 	partial   []byte // the beginning of a message that is not complete yet
@@ -24,6 +26,7 @@
 func AcceptLink(conn *eventloop.Conn, onMessage func(*Link, *Message), onClose func(*Link, error)) *Link {
 	l := &Link{conn: conn, onMessage: onMessage, onClose: onClose}
 	conn.Handler = l
+	conn.ReadAfterWriteError = true
 	return l
 }
 
@@ -34,7 +37,7 @@
 	l := &Link{onMessage: onMessage, onClose: onClose}
 	var err error
 	if l.conn, err = loop.Adopt(fd, l); err == nil {
-		l.conn.ReceiveFDs = true
+		l.conn.ReceiveFDs, l.conn.ReadAfterWriteError = true, true
 	}
 	return l, err
 }
