Apply a forwarded call-back to a request that migrated here meanwhile

Callers saw: 502 at the deadline of a request whose job was done, in an upgrade; the worker's call-back was answered with 204.

Cause: the new process reads the call-back before the request has migrated to it, and forwards it; the old one has migrated the request before it reads the call-back. Neither knew it when asked, and the confirmation was taken for an answer.

Change: the process that forwarded a call-back keeps its body until the confirmation, and applies it then to adopted requests. Messages between the two keep their order, so the request has arrived by then. No message changed, so both versions of a pair may be of either age.

TestUpgradeWithACallBackThatCrossesTheMigration failed before ("response 502, want 200") and passes; the tests of upgrades pass (69.7 s), the pairs of versions among them.

--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"moorstack/internal/proxy/hotrestart"
 )
 
 // One process replaces the other under load, twice: every client gets exactly one response, no connection is
@@ -376,3 +378,40 @@
 		finish(id)
 	}
 }
+
+// Guards against a result that is dropped while its request migrates: the new process is held up with the
+// worker's call-back unread, and forwards it to the old one, which has migrated the request meanwhile.
+func TestUpgradeWithACallBackThatCrossesTheMigration(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	held := make(chan workerCall, 1)
+	o := startNodeWithAdmin(t, 1, func(_ int, s workerCall, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		held <- s
+	})
+	event := func(id string) string {
+		body := fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":"did"}`, id, o.workers[0].name)
+		return fmt.Sprintf("POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	toOld := o.dial().send(event("unknown")) // a worker's connection to the old process
+	toOld.expectResponse(204, "")
+	job := o.dial().send(jobRequest("crosses", "book", "20000m", "x"))
+	<-held
+	next, admin := (&upgradeFixture{adminFixture: o}).startProcess()
+	eventually(t, "the new process is ready", func() bool { return isReady(admin) })
+	toNew := o.dial().send(event("unknown"))
+	toNew.expectResponse(204, "")
+	check(t, o.cmd.Process.Signal(syscall.SIGTERM))
+	migration := time.Now().Add(hotrestart.MigrateAfter)
+	time.Sleep(time.Until(migration.Add(-300 * time.Millisecond)))
+	check(t, next.Process.Signal(syscall.SIGSTOP))
+	toNew.send(event("crosses"))
+	// The old process forwards this one, and waits for the new process to confirm it before it ends.
+	time.Sleep(time.Until(migration.Add(-100 * time.Millisecond)))
+	toOld.send(event("unknown"))
+	time.Sleep(time.Until(migration.Add(200 * time.Millisecond)))
+	check(t, next.Process.Signal(syscall.SIGCONT))
+	toNew.expectResponse(204, "")
+	job.expectResponse(200, "did")
+	check(t, o.cmd.Wait())
+	o.cmd = next
+}
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -51,7 +51,7 @@
 		workers:       map[string]*worker{},
 		entries:       map[string]workerEntry{},
 		adopted:       map[string]*client{},
-		peerState:     peerState{forwarded: map[uint64]*client{}},
+		peerState:     peerState{forwarded: map[uint64]forwardedCallBack{}},
 		counters:      metrics.Counters{Classes: make([]metrics.ClassCounters, len(cfg.Settings.Classes))},
 		reuseFailedAt: -reuseBackoff,
 	}
--- a/internal/frontend/platform/peer_process.go
+++ b/internal/frontend/platform/peer_process.go
@@ -34,12 +34,18 @@
 	peer                PeerProcess // nil: none
 	limitsShared        bool        // both processes share the limits
 	lastForwardedNumber uint64
-	forwarded           map[uint64]*client  // worker connections by number of the forwarded call-back
-	peerRequests        map[string]struct{} // ids of open requests of the other process
+	forwarded           map[uint64]forwardedCallBack // call-backs that the other process has not confirmed yet
+	peerRequests        map[string]struct{}          // ids of open requests of the other process
 
 	unlinkedPeerUntil time.Duration // until when an unlinked process may share the address
 }
 
+// forwardedCallBack is a call-back that was forwarded to the other process.
+type forwardedCallBack struct {
+	from *client // the worker's connection
+	body []byte
+}
+
 // ExpectUnlinkedPeer records that another process of the node, with which this one has no link, may share the
 // address for some time.
 func (f *Front) ExpectUnlinkedPeer() { f.unlinkedPeerUntil = f.loop.Now() + unlinkedPeerTimeout }
@@ -56,7 +62,7 @@
 	}
 	f.lastForwardedNumber++
 	n := f.lastForwardedNumber
-	f.forwarded[n], c.callBackForwarded = c, true
+	f.forwarded[n], c.callBackForwarded = forwardedCallBack{c, body}, true
 	f.peer.ForwardCallBack(n, body)
 	f.loop.After(forwardTimeout, func() { f.respondForwarded(n, 503) })
 	return true
@@ -64,14 +70,24 @@
 
 // CallBackHandled responds to a forwarded call-back that the other process has handled or does not know
 // either. In both cases the worker need not call again.
-func (f *Front) CallBackHandled(number uint64) { f.respondForwarded(number, 204) }
+//
+// The other process may have migrated the request here before it received the call-back. The request was then
+// adopted before this confirmation arrived, and the call-back is applied here.
+func (f *Front) CallBackHandled(number uint64) {
+	var cb callBack
+	if forwarded, ok := f.forwarded[number]; ok && json.Unmarshal(forwarded.body, &cb) == nil {
+		f.handleAdoptedCallBack(&cb)
+	}
+	f.respondForwarded(number, 204)
+}
 
 // respondForwarded responds to the worker whose call-back was forwarded under the number, if it still waits.
 func (f *Front) respondForwarded(number uint64, status int) {
-	c := f.forwarded[number]
-	if c == nil {
+	forwarded, ok := f.forwarded[number]
+	if !ok {
 		return
 	}
+	c := forwarded.from
 	delete(f.forwarded, number)
 	if c.callBackForwarded = false; c.conn.Closed() {
 		return
