--- a/internal/frontend/faktory/session.go
+++ b/internal/frontend/faktory/session.go
@@ -188,23 +188,29 @@
 	}
 }
 
-// takeUnfetched removes and returns the oldest unfetched job of the connection's queues; nil: none. It also
-// ends the attempts of jobs that have finished meanwhile.
+// takeUnfetched removes and returns the oldest unfetched job of the connection's queues; nil: none. It ends
+// the attempts of jobs that have finished meanwhile, and of those that may no longer be delivered.
 func (s *session) takeUnfetched(c *conn) *reservation {
-	for i := 0; i < len(s.unfetched); i++ {
-		r := s.unfetched[i]
-		if !r.job.finished && !c.fetchQueues[r.job.Queue] {
-			continue
+	for {
+		i := slices.IndexFunc(s.unfetched, func(r *reservation) bool {
+			return r.job.finished || c.fetchQueues[r.job.Queue]
+		})
+		if i < 0 {
+			return nil
 		}
-		s.unfetched = append(s.unfetched[:i:i], s.unfetched[i+1:]...)
-		if !r.job.finished {
+		r := s.unfetched[i]
+		s.unfetched = slices.Delete(s.unfetched, i, i+1)
+		switch {
+		case r.job.finished: // by a hedged request
+			s.front.broker.EndAttempt(r.attempt, balancer.Cancelled, nil, s.load())
+		case !s.front.broker.MayStillSend(r.attempt):
+			// The job was assigned to the worker a while ago. Meanwhile the key window of an earlier attempt, which
+			// may have run, may have ended, or the worker may have been put under maintenance.
+			s.front.broker.EndAttempt(r.attempt, balancer.NotSent, nil, s.load())
+		default:
 			return r
 		}
-		// A hedged request has finished the job.
-		s.front.broker.EndAttempt(r.attempt, balancer.Cancelled, nil, s.load())
-		i--
 	}
-	return nil
 }
 
 // cancelWait ends the wait of the connection's FETCH, if it waits.
