Repeat a trigger's job that may have run only within its key window

Cause: the driver of triggers took a rejection for a proof that the job never ran. For such a class it only says that a retry is safe while the key is known. The same belief released occurrences at a shutdown or after a lost session, called them "refused" when it was too late for them, and let an adopted occurrence be retried after a rejection with no look at the window.

Change: broker.Response.MayHaveRun; a job that may have run is submitted again only if its last attempt can't outlast the window (replicated.Class.MayRepeat, until now the rule of adoption alone), and has failed otherwise.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -107,12 +107,6 @@
 	b.actions.Send(q.ID, w.ID)
 }
 
-// provesNeverRan reports whether an attempt's end proves that the request never ran. With
-// Rules.FullMayHaveRun, a worker may also reject a request that it has begun.
-func (b *Balancer) provesNeverRan(r Result) bool {
-	return r.NeverRan() && !(r == WorkerFull && b.settings.Rules.FullMayHaveRun)
-}
-
 // cancelInFlight cancels the attempts in flight of a request that has its response, if cancelling is
 // possible.
 //
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -68,7 +68,7 @@
 	if a == nil || a.ended {
 		return
 	}
-	a.neverRan = b.provesNeverRan(o.Result)
+	a.neverRan = b.settings.Rules.ProvesNeverRan(o.Result)
 	a.ended, a.worker.unstartedWait = true, 0
 	if a.startedAt > 0 {
 		a.worker.running--
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -90,6 +90,12 @@
 	FullMayHaveRun    bool          // WorkerFull does not prove that the request never ran
 }
 
+// ProvesNeverRan reports whether an attempt's end proves that the request never ran. With FullMayHaveRun, a
+// worker may also reject a request that it has begun.
+func (r *Rules) ProvesNeverRan(result Result) bool {
+	return result.NeverRan() && !(result == WorkerFull && r.FullMayHaveRun)
+}
+
 // Goal weights the parts of the score that decisions maximize.
 type Goal struct {
 	Overall     float64
--- a/cmd/moorstack/group_fixture_test.go
+++ b/cmd/moorstack/group_fixture_test.go
@@ -35,6 +35,7 @@
 	fronts      map[string]string     // by instance; the front's address, if needed before the start
 	admin       map[string]string     // by instance; the admin address, if any
 	links       *faultinjection.Links // between the instances; nil: they connect directly
+	settings    string                // of startSoleInstance's platform file; empty: testSettings
 }
 
 func newGroup(t *testing.T) *group {
@@ -354,8 +355,8 @@
 [control]
 socket = "n1.sock"
 `, frontConfig, freeAddress(g.t)))
-	return startNodeWithFile(g.t, filepath.Join(g.dir, "platform.json"), 3, handle, "serve", "--config",
-		filepath.Join(g.dir, "n1.toml"))
+	return startNodeFixture(g.t, filepath.Join(g.dir, "platform.json"), cmp.Or(g.settings, testSettings),
+		&unchangedLine, 3, handle, "serve", "--config", filepath.Join(g.dir, "n1.toml"))
 }
 
 // waitRevision waits until an instance runs a revision.
--- a/cmd/moorstack/node_fixture_test.go
+++ b/cmd/moorstack/node_fixture_test.go
@@ -71,16 +71,17 @@
 // startNodeWithFirstLine is startNode with the first line of each watch; nil: none.
 func startNodeWithFirstLine(t *testing.T, firstLine *string, workers int,
 	handle jobHandler) *nodeFixture {
-	return startNodeFixture(t, filepath.Join(t.TempDir(), "config.json"), firstLine, workers, handle)
+	return startNodeFixture(t, filepath.Join(t.TempDir(), "config.json"), testSettings, firstLine, workers,
+		handle)
 }
 
 // startNodeWithFile is startNode with the platform file at a given path, to which the arguments may refer.
 func startNodeWithFile(t *testing.T, file string, workers int, handle jobHandler,
 	args ...string) *nodeFixture {
-	return startNodeFixture(t, file, &unchangedLine, workers, handle, args...)
+	return startNodeFixture(t, file, testSettings, &unchangedLine, workers, handle, args...)
 }
 
-func startNodeFixture(t *testing.T, file string, firstLine *string, workers int,
+func startNodeFixture(t *testing.T, file, settings string, firstLine *string, workers int,
 	handle jobHandler, args ...string) *nodeFixture {
 	w := &nodeFixture{t: t, addr: freeAddress(t), watches: make(chan *discoveryWatch, 16),
 		firstLine: firstLine}
@@ -103,7 +104,7 @@
 	address := strings.TrimPrefix(discovery.URL, "http://")
 	w.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,`+
 		`"memory_mb":%s,"sockets":%s},"known":%s,"settings":%s}`, w.addr, address,
-		cmp.Or(os.Getenv("MEMORY"), "192"), cmp.Or(os.Getenv("SOCKETS"), "1024"), list, testSettings)
+		cmp.Or(os.Getenv("MEMORY"), "192"), cmp.Or(os.Getenv("SOCKETS"), "1024"), list, settings)
 	w.file = file
 	check(t, os.WriteFile(w.file, []byte(w.config), 0o600))
 	w.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n ${FILES:-1024}; exec "$0" "$@"`,
--- a/cmd/moorstack/shutdown_test.go
+++ b/cmd/moorstack/shutdown_test.go
@@ -12,8 +12,8 @@
 	"moorstack/internal/proxy/drain"
 )
 
-// sigkillAfter is the earliest time after SIGTERM at which the platform sends SIGKILL in a planned restart: the
-// longest deadline, counted as 3 s where it is longer, and 0.7 s.
+// sigkillAfter is the earliest time after SIGTERM at which the platform sends SIGKILL in a planned restart:
+// the longest deadline, counted as 3 s where it is longer, and 0.7 s.
 const sigkillAfter = 3700 * time.Millisecond
 
 // A client has pipelined two requests when the node receives SIGTERM. Both have been read and are answered;
@@ -116,15 +116,17 @@
 	}
 }
 
-// Guards against a front that serves on after SIGTERM until another front has drained: a worker of the Faktory
-// front holds a job throughout. The HTTP front must fail health checks at once, close its connections and its
-// address when its own work is done, and take nothing from then on; the Faktory job is finished all the same.
+// Guards against a front that serves on after SIGTERM until another front has drained: a worker of the
+// Faktory front holds a job throughout. The HTTP front must fail health checks at once, close its connections
+// and its address when its own work is done, and accept nothing from then on; the Faktory job is finished all
+// the same.
 func TestFrontsDrainAtTheSameTime(t *testing.T) {
 	t.Parallel()
 	w, addr := startFaktoryNodeWithWorkers(t, 1, "")
 	worker, producer := connectFaktory(t, addr, "w1"), connectFaktory(t, addr, "")
 	worker.fetch("default")
-	producer.expectReply(pushCommand("job-held", "quote", `,"reserve_for":60,"custom":{"deadline":60}`), "+OK")
+	producer.expectReply(pushCommand("job-held", "quote", `,"reserve_for":60,"custom":{"deadline":60}`),
+		"+OK")
 	worker.expectJob("job-held")
 	idle := w.dial()
 	idle.send(jobRequest("a", "quote", "4000m", "x")).expectResponse(200, "did x")
--- a/cmd/moorstack/triggers_test.go
+++ b/cmd/moorstack/triggers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -195,3 +196,40 @@
 	check(t, err)
 	return at
 }
+
+// Guards against a trigger's job that runs twice: a worker accepts it and never calls back, and the broker
+// rejects it at its deadline, since all workers recognise its key. That is true for the key's window only,
+// which is over by then.
+func TestTriggerIsNotRepeatedAfterItsKeyWindow(t *testing.T) {
+	t.Parallel()
+	const window = 2 * time.Second
+	g := newGroup(t)
+	g.settings = strings.NewReplacer(`"key_scope":"cell"`, `"key_scope":"all"`, `"give_up":5000000000`,
+		`"give_up":2000000000`, `"slo":4000000000`, `"slo":1000000000`, `"window":25000000000`,
+		`"window":2000000000`).Replace(testSettings)
+	var mu sync.Mutex
+	sent := map[string][]time.Time{} // by occurrence
+	w := g.startSoleInstance("", func(_ int, s workerCall, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		mu.Lock()
+		defer mu.Unlock()
+		sent[s.id] = append(sent[s.id], time.Now())
+	})
+	g.must("cluster", "init", "--config", "n1.toml")
+	eventually(t, "the instance admits jobs", w.healthy)
+	g.setSections("n1", "[section.schedule]\nzone = \"UTC\"\n"+
+		"\"trigger.standing-7\" = \"* * * * * * class=book\"\n")
+	time.Sleep(4 * window) // a repeat would come some 2.3 s after the first attempt
+	mu.Lock()
+	for id, times := range sent {
+		if after := times[len(times)-1].Sub(times[0]); after > window {
+			t.Errorf("%s was sent %d times, the last %v after the first; the window is %v", id, len(times),
+				after, window)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("no occurrence was fired")
+	}
+	mu.Unlock()
+	g.eventuallyPrints("failed", "cluster", "status", "--config", "n1.toml")
+}
--- a/internal/cluster/clusterstate/document.go
+++ b/internal/cluster/clusterstate/document.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"moorstack/internal/cluster/replicated"
 )
 
 // Limits of a document. A change that exceeds them is rejected before it is proposed.
@@ -65,6 +67,12 @@
 	MaxAttempts int `toml:"attempts,omitempty,omitzero" json:"attempts,omitempty"`
 }
 
+// Replicated returns what state machines and triggers know of the class.
+func (c *Class) Replicated() replicated.Class {
+	return replicated.Class{Name: c.Name, Idempotency: c.Idempotency, KeyScope: c.KeyScope,
+		Timeout: time.Duration(c.Timeout), KeyWindow: time.Duration(c.KeyWindow)}
+}
+
 // Tenant is one of the tenants that share the workers, with its quotas.
 type Tenant struct {
 	Name          string  `toml:"name" json:"name"`
--- a/internal/cluster/clusterstate/rules.go
+++ b/internal/cluster/clusterstate/rules.go
@@ -1,8 +1,6 @@
 package clusterstate
 
 import (
-	"time"
-
 	"moorstack/internal/cluster/leasedtask"
 	"moorstack/internal/cluster/membership"
 	"moorstack/internal/cluster/placement"
@@ -123,10 +121,8 @@
 	if c.Format == 0 {
 		c.Format = LatestFormat
 	}
-	for _, class := range d.Classes {
-		c.Classes = append(c.Classes, replicated.Class{Name: class.Name, Idempotency: class.Idempotency,
-			KeyScope: class.KeyScope, Timeout: time.Duration(class.Timeout),
-			KeyWindow: time.Duration(class.KeyWindow)})
+	for i := range d.Classes {
+		c.Classes = append(c.Classes, d.Classes[i].Replicated())
 	}
 	for _, tenant := range d.Tenants {
 		c.Tenants = append(c.Tenants, tenant.Name)
--- a/internal/cluster/schedule/statemachine.go
+++ b/internal/cluster/schedule/statemachine.go
@@ -95,17 +95,8 @@
 // since the intent.
 func (m *StateMachine) retryable(t *Trigger, age time.Duration) bool {
 	for _, c := range m.classes {
-		if c.Name != t.Class {
-			continue
-		}
-		switch c.Idempotency {
-		case "retryable":
-			return true
-		case "dedup":
-			// Workers remember a key for a limited time only. In classes with a narrower scope, only the
-			// workers in the first attempt's scope do, and that scope is no longer known.
-			everywhere := c.KeyScope == "" || c.KeyScope == "all"
-			return everywhere && age+c.Timeout < c.KeyWindow
+		if c.Name == t.Class {
+			return c.MayRepeat(age)
 		}
 	}
 	return false
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -14,6 +14,7 @@
 	"moorstack/internal/cluster/calendar"
 	"moorstack/internal/cluster/clusterstate"
 	"moorstack/internal/cluster/consensus"
+	"moorstack/internal/cluster/replicated"
 	"moorstack/internal/cluster/schedule"
 	"moorstack/internal/frontend/platform"
 	"moorstack/internal/proxy/broker"
@@ -40,7 +41,7 @@
 	names         routing.KnownNames // of classes and tenants, by index
 	zones         *calendar.ZoneDB
 	policy        *schedule.Policy
-	deadline      map[string]time.Duration // by class
+	classes       map[string]replicated.Class // by name
 	view          consensus.ClusterView
 	clock         schedule.ClusterClock
 	pending       map[uint64]*occurrence  // by number, until the outcome is known
@@ -60,6 +61,9 @@
 	open      bool          // the broker has the job
 	notBefore time.Duration // on the boot clock
 	attempts  int
+
+	submittedAt     time.Duration // when the broker last got the job, on the boot clock
+	mayHaveRunSince time.Duration // when an attempt that may have run was submitted here; 0: there is none
 }
 
 func newScheduleDriver(env *environment, names routing.KnownNames, zones *calendar.ZoneDB) *scheduleDriver {
@@ -94,23 +98,24 @@
 // Prepare implements driver.
 func (s *scheduleDriver) Prepare(d *clusterstate.Document, _ balancer.Settings) preparedChange {
 	p := schedulePolicy(d)
-	c := &scheduleChange{driver: s, policy: &p, deadline: map[string]time.Duration{}}
-	for _, class := range d.Classes {
-		c.deadline[class.Name] = time.Duration(class.Timeout)
+	c := &scheduleChange{driver: s, policy: &p, classes: map[string]replicated.Class{}}
+	for i := range d.Classes {
+		class := d.Classes[i].Replicated()
+		c.classes[class.Name] = class
 	}
 	return c
 }
 
 type scheduleChange struct {
-	driver   *scheduleDriver
-	policy   *schedule.Policy
-	deadline map[string]time.Duration
+	driver  *scheduleDriver
+	policy  *schedule.Policy
+	classes map[string]replicated.Class
 }
 
 // Apply implements preparedChange.
 func (c *scheduleChange) Apply() {
 	s, p := c.driver, c.policy
-	s.deadline = c.deadline
+	s.classes = c.classes
 	if p.Version == s.policy.Version {
 		return
 	}
@@ -188,8 +193,7 @@
 	for _, o := range queue {
 		switch {
 		case o.Session != s.view.Session || s.draining:
-			// The job never ran, and the next owner must learn that.
-			s.finish(o, schedule.Released)
+			s.release(o)
 		case submitted >= maxFiringsPerTurn || now < o.notBefore || now >= s.view.ExpiresAt:
 			// Once the lease has expired, as in a stall of this process, the next owner may already have the
 			// occurrence.
@@ -235,14 +239,24 @@
 		s.finish(o, schedule.Rejected)
 		return
 	}
+	if !s.mayRepeat(o, s.classes[trigger.Class], now) {
+		s.log.WithField("occurrence", o.IdempotencyKey()).
+			Error("job of an occurrence not repeated: it may have run")
+		s.finish(o, schedule.Failed)
+		return
+	}
 	maxDelay := int64((trigger.StartingDeadline + trigger.MaxJitter) / time.Second)
 	if o.attempts > 0 && s.clusterTime(now)-o.At > maxDelay {
 		s.log.WithField("occurrence", o.IdempotencyKey()).
 			Error("occurrence dropped: rejected until it was too late")
-		s.finish(o, schedule.Rejected)
+		if o.mayHaveRun() {
+			s.finish(o, schedule.Failed)
+		} else {
+			s.finish(o, schedule.Rejected)
+		}
 		return
 	}
-	o.open = true
+	o.open, o.submittedAt = true, now
 	o.attempts++
 	s.submitted.Add(1)
 	s.env.audit.write("fire %q %d %d %d %v", o.IdempotencyKey(), o.Number, o.Session.Epoch, o.At,
@@ -258,6 +272,32 @@
 	}
 }
 
+// mayRepeat reports whether the job of an occurrence may be submitted now. A job that may have run, here or
+// under an earlier session, is submitted again only for as long as its class allows.
+func (s *scheduleDriver) mayRepeat(o *occurrence, class replicated.Class, now time.Duration) bool {
+	if o.mayHaveRunSince > 0 && !class.MayRepeat(now-o.mayHaveRunSince) {
+		return false
+	}
+	// Both times are whole seconds, so up to one more second may have passed.
+	age := time.Duration(s.clusterTime(now)-o.IntendedAt+1) * time.Second
+	return !o.Redelivered || class.MayRepeat(age)
+}
+
+// mayHaveRun reports whether the job of an occurrence that is not open may have run, here or under an earlier
+// session.
+func (o *occurrence) mayHaveRun() bool { return o.mayHaveRunSince > 0 || o.Redelivered }
+
+// release ends an occurrence that this session must not submit any more. If its job never ran, the next owner
+// must learn that: it submits the job whatever its class.
+func (s *scheduleDriver) release(o *occurrence) {
+	if trigger := findTrigger(s.policy, o.Trigger); !o.mayHaveRun() ||
+		trigger != nil && s.classes[trigger.Class].AlwaysRepeatable() {
+		s.finish(o, schedule.Released)
+		return
+	}
+	s.finish(o, schedule.Failed)
+}
+
 // findTrigger returns the trigger with a name, or nil. A policy's triggers are sorted by name.
 func findTrigger(p *schedule.Policy, name string) *schedule.Trigger {
 	n, ok := slices.BinarySearchFunc(p.Triggers, name, func(t schedule.Trigger, name string) int {
@@ -272,7 +312,7 @@
 func (s *scheduleDriver) buildRequest(o *occurrence, t *schedule.Trigger) platform.ScheduledRequest {
 	return platform.ScheduledRequest{ID: o.IdempotencyKey(), Class: slices.Index(s.names.Classes, t.Class),
 		Tenant: max(slices.Index(s.names.Tenants, t.Tenant), 0), Account: t.Account, Path: t.Path,
-		Body: t.Body, ExpectedWork: t.ExpectedWork, Timeout: s.deadline[t.Class],
+		Body: t.Body, ExpectedWork: t.ExpectedWork, Timeout: s.classes[t.Class].Timeout,
 		IsRetry: o.Redelivered || o.attempts > 1}
 }
 
@@ -296,7 +336,10 @@
 	switch a.Kind {
 	case broker.Served:
 		s.finish(o, schedule.Succeeded)
-	case broker.Rejected: // the job never ran
+	case broker.Rejected:
+		if a.MayHaveRun && o.mayHaveRunSince == 0 {
+			o.mayHaveRunSince = o.submittedAt
+		}
 		s.retry(o, a.RetryAfter)
 	default:
 		s.log.WithField("occurrence", o.IdempotencyKey()).
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -14,7 +14,8 @@
 
 // drainer is a part of a node that finishes its accepted work in a graceful shutdown.
 type drainer interface {
-	// BeginShutdown starts the drain. It calls done once, when nothing is pending and nothing more is accepted.
+	// BeginShutdown starts the drain. It calls done once, when nothing is pending and nothing more is
+	// accepted.
 	BeginShutdown(done func())
 	// DrainPending returns what the part still waits for.
 	DrainPending() drain.Pending
--- a/internal/proxy/broker/actions.go
+++ b/internal/proxy/broker/actions.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
 	"moorstack/balancer"
@@ -48,7 +49,15 @@
 
 // Reject implements balancer.Actions.
 func (b actions) Reject(id balancer.RequestID, retryAfter time.Duration) {
-	b.endRequest(id, Response{Kind: Rejected, RetryAfter: retryAfter})
+	b.endRequest(id, Response{Kind: Rejected, RetryAfter: retryAfter, MayHaveRun: b.mayHaveRun(id)})
+}
+
+// mayHaveRun reports whether an attempt of the request may have run.
+func (b actions) mayHaveRun(id balancer.RequestID) bool {
+	req := b.requests[id]
+	return req != nil && slices.ContainsFunc(req.attempts, func(a *attempt) bool {
+		return !a.ended || !b.settings.Rules.ProvesNeverRan(a.result)
+	})
 }
 
 // Fail implements balancer.Actions.
--- a/internal/proxy/broker/attempt.go
+++ b/internal/proxy/broker/attempt.go
@@ -31,6 +31,7 @@
 	running  RunningAttempt // nil if it was not started or its request has migrated
 	timer    Timer          // fires at the deadline
 	ended    bool
+	result   balancer.Result // once it has ended
 }
 
 // MayStillSend reports whether an attempt that has started, but has not been written to its worker yet, may
@@ -114,7 +115,7 @@
 // finishAttempt ends an attempt that has not ended. All attempts end here.
 func (b *Broker) finishAttempt(a *attempt, res balancer.Result, body []byte, report balancer.LoadReport) {
 	req := a.request
-	a.ended = true
+	a.ended, a.result = true, res
 	if a.timer != nil {
 		a.timer.Stop()
 	}
--- a/internal/proxy/broker/broker_test.go
+++ b/internal/proxy/broker/broker_test.go
@@ -218,6 +218,27 @@
 			f.endpoints["a"].abandoned, f.endpoints["b"].abandoned)
 	}
 	f.wantResponses(c, Rejected) // both attempts are used up, and the class is idempotent
+	if !c.responses[0].MayHaveRun {
+		t.Error("the rejection does not say that an attempt may have run")
+	}
+}
+
+// A rejection after attempts that certainly did not run must not say that the job may have run: it could then
+// not be repeated.
+func TestRejectionOfAJobThatNeverRan(t *testing.T) {
+	f := newFixture(t)
+	c := f.submit("r")
+	for range 2 {
+		ids, _ := f.attempts("r")
+		for _, id := range ids {
+			f.EndAttempt(id, balancer.WorkerFull, nil, balancer.NoLoadReport)
+		}
+	}
+	f.clock.advance(time.Minute)
+	f.wantResponses(c, Rejected)
+	if c.responses[0].MayHaveRun {
+		t.Error("the rejection says that a job may have run which two workers refused")
+	}
 }
 
 func TestDuplicateIDIsRejected(t *testing.T) {
