--- a/internal/cluster/replicated/state_machine.go
+++ b/internal/cluster/replicated/state_machine.go
@@ -49,9 +49,9 @@
 // MayRepeat reports whether a job that may have run may be submitted again under its idempotency key. Age is
 // the time since its first attempt may have been sent.
 //
-// Workers remember a key for a limited time only, and the last attempt may be sent up to a timeout from now. In
-// classes with a narrower scope, only the workers in the first attempt's scope do, and that scope is no longer
-// known.
+// Workers remember a key for a limited time only, and the last attempt may be sent up to a timeout from now.
+// In classes with a narrower scope, only the workers in the first attempt's scope do, and that scope is no
+// longer known.
 func (c Class) MayRepeat(age time.Duration) bool {
 	everywhere := c.KeyScope == "" || c.KeyScope == "all"
 	return c.AlwaysRepeatable() || c.Idempotency == "dedup" && everywhere && age+c.Timeout < c.KeyWindow
--- a/internal/frontend/faktory/session.go
+++ b/internal/frontend/faktory/session.go
@@ -204,8 +204,8 @@
 		case r.job.finished: // by a hedged request
 			s.front.broker.EndAttempt(r.attempt, balancer.Cancelled, nil, s.load())
 		case !s.front.broker.MayStillSend(r.attempt):
-			// The job was assigned to the worker a while ago. Meanwhile the key window of an earlier attempt, which
-			// may have run, may have ended, or the worker may have been put under maintenance.
+			// The job was assigned to the worker a while ago. Meanwhile the key window of an earlier attempt,
+			// which may have run, may have ended, or the worker may have been put under maintenance.
 			s.front.broker.EndAttempt(r.attempt, balancer.NotSent, nil, s.load())
 		default:
 			return r
--- a/internal/frontend/platform/peer_process.go
+++ b/internal/frontend/platform/peer_process.go
@@ -34,7 +34,7 @@
 	peer                PeerProcess // nil: none
 	limitsShared        bool        // both processes share the limits
 	lastForwardedNumber uint64
-	forwarded           map[uint64]forwardedCallBack // call-backs that the other process has not confirmed yet
+	forwarded           map[uint64]forwardedCallBack // call-backs not confirmed by the other process yet
 	peerRequests        map[string]struct{}          // ids of open requests of the other process
 
 	unlinkedPeerUntil time.Duration // until when an unlinked process may share the address
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -67,8 +67,8 @@
 	// OnSent, if set, is called once, when the kernel has accepted all output.
 	OnSent func()
 
-	// ReadAfterWriteError makes a failed write drop the pending output only: input that the peer sent before it
-	// closed the connection is still read, and OnClose is called after it.
+	// ReadAfterWriteError makes a failed write drop the pending output only: input that the peer sent before
+	// it closed the connection is still read, and OnClose is called after it.
 	ReadAfterWriteError bool
 
 	// ReceiveFDs makes reads on a Unix socket keep the descriptors sent with the data, for PopFD.
--- a/internal/proxy/broker/request.go
+++ b/internal/proxy/broker/request.go
@@ -43,8 +43,8 @@
 	Body       []byte        // of Served
 	RetryAfter time.Duration // of Rejected: how long to wait before a retry; 0: not specified
 	Reason     string        // of Rejected, from the admission controller
-	// MayHaveRun is set for Rejected if an attempt was sent and may have run. A retry is then safe only for as
-	// long as the workers recognise the request's key.
+	// MayHaveRun is set for Rejected if an attempt was sent and may have run. A retry is then safe only for
+	// as long as the workers recognise the request's key.
 	MayHaveRun bool
 }
 
