Exclude a dead instance from firing triggers under cut_off serve

Cause: under cut_off = "serve" a session never expires, and triggers are owned by the members with open sessions.

Change: the leader excludes a member whose lease has certainly run out although its session stays open, as it does for one that shuts down. It can't act without a lease, and each firing is an entry of the log that takes effect only if its sender owns the trigger.

TestTriggersOfADeadInstanceUnderCutOffServe failed before ("which was due 4s after the end of n2, was never fired", among others) and passes.

--- a/cmd/moorstack/triggers_test.go
+++ b/cmd/moorstack/triggers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -233,3 +234,48 @@
 	mu.Unlock()
 	g.eventuallyPrints("failed", "cluster", "status", "--config", "n1.toml")
 }
+
+// Guards against triggers that nobody fires while their instance is down: with cut_off = "serve" its session
+// stays open, and it owned a part of the triggers for as long.
+func TestTriggersOfADeadInstanceUnderCutOffServe(t *testing.T) {
+	t.Parallel()
+	const triggers, late = 12, 5 * time.Second
+	g := newGroup(t)
+	var mu sync.Mutex
+	ran := map[string]bool{} // by occurrence
+	g.startWithWorkers([]string{"n1", "n2", "n3"}, func(string) loopback.Options {
+		return loopback.Options{OnJob: func(_, key string) {
+			mu.Lock()
+			defer mu.Unlock()
+			ran[key] = true
+		}}
+	})
+	g.form("n1", "n2", "n3")
+	dead := without([]string{"n1", "n2", "n3"}, g.leader("n1", "n2", "n3"))[0]
+	sections := "[section.rollout]\ncut_off = \"serve\"\n[section.schedule]\nzone = \"UTC\"\n"
+	for k := range triggers {
+		sections += fmt.Sprintf("\"trigger.standing-%d\" = \"* * * * * * class=trip-quote late=%v\"\n", k, late)
+	}
+	g.setSections("n1", sections)
+	within(t, time.Minute, "all triggers are fired", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ran) > 3*triggers
+	})
+	g.kill(dead, syscall.SIGKILL)
+	killed := time.Now().UTC().Truncate(time.Second)
+	time.Sleep(late + 5*time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for at := killed.Add(2 * time.Second); at.Before(killed.Add(5 * time.Second)); at = at.Add(time.Second) {
+		layout := "2006-01-02T15:04:05"
+		if at.Second() == 0 {
+			layout = "2006-01-02T15:04"
+		}
+		for k := range triggers {
+			if key := fmt.Sprintf("standing-%d@%s", k, at.Format(layout)); !ran[key] {
+				t.Errorf("%s, which was due %v after the end of %s, was never fired", key, at.Sub(killed), dead)
+			}
+		}
+	}
+}
--- a/internal/cluster/consensus/participants.go
+++ b/internal/cluster/consensus/participants.go
@@ -5,6 +5,7 @@
 
 	"moorstack/internal/cluster/placement"
 	"moorstack/internal/cluster/replicated"
+	"moorstack/internal/cluster/rollout"
 	"moorstack/internal/schema"
 )
 
@@ -208,6 +209,11 @@
 	return leader != nil && leader.LeaseExpired(g.replica.now, member, g.replica.policy())
 }
 
+// Isolated implements replicated.Group.
+func (g groupView) Isolated(member uint64) bool {
+	return g.replica.policy().WhenIsolated == rollout.KeepServing && g.Expired(member)
+}
+
 // ExpiredSessions implements replicated.Group.
 func (g groupView) ExpiredSessions() []placement.Session {
 	var list []placement.Session
--- a/internal/cluster/schedule/leader.go
+++ b/internal/cluster/schedule/leader.go
@@ -15,6 +15,7 @@
 // Instances of other versions recognise a member that is excluded for its clock by clockSkewPrefix.
 const (
 	departingReason = "it is about to end"
+	isolatedReason  = "its lease has run out"
 	clockSkewPrefix = "its clock is "
 )
 
@@ -58,6 +59,9 @@
 	ExpiredSessions []Session // whose leases have certainly run out
 	// Departing reports whether a member is shutting down and so may not own shards; nil: no member is.
 	Departing func(member uint64) bool
+	// Isolated reports whether a member's lease has certainly run out although its session stays open; nil: no
+	// member's has.
+	Isolated func(member uint64) bool
 }
 
 // ObserveReading records an instance's report.
@@ -99,6 +103,8 @@
 		r, known := l.readings[m.Member]
 		if g.Departing != nil && g.Departing(m.Member) {
 			excluded[m.Member] = departingReason
+		} else if g.Isolated != nil && g.Isolated(m.Member) {
+			excluded[m.Member] = isolatedReason
 		} else if reason := l.skewReason(now, s, m.Member, clocks, g.LeaseDuration); reason != "" {
 			excluded[m.Member] = reason
 		} else if known && r.PolicyVersion == p.Version && r.ZoneRulesVersion != zoneRules {
--- a/internal/cluster/schedule/participant.go
+++ b/internal/cluster/schedule/participant.go
@@ -74,7 +74,8 @@
 // leaderGroup converts an instance's view of the group for the Leader.
 func leaderGroup(v replicated.InstanceView) Group {
 	return Group{Members: v.Group.EligibleOwners(), Size: v.Group.Size(), LeaseDuration: v.LeaseDuration,
-		ExpiredSessions: v.Group.ExpiredSessions(), Departing: v.Group.Departing}
+		ExpiredSessions: v.Group.ExpiredSessions(), Departing: v.Group.Departing,
+		Isolated: v.Group.Isolated}
 }
 
 // FillGrant implements replicated.Participant. It adds the cluster time if there are triggers and the time is
