--- a/cmd/moorstack/triggers_test.go
+++ b/cmd/moorstack/triggers_test.go
@@ -254,7 +254,8 @@
 	dead := without([]string{"n1", "n2", "n3"}, g.leader("n1", "n2", "n3"))[0]
 	sections := "[section.rollout]\ncut_off = \"serve\"\n[section.schedule]\nzone = \"UTC\"\n"
 	for k := range triggers {
-		sections += fmt.Sprintf("\"trigger.standing-%d\" = \"* * * * * * class=trip-quote late=%v\"\n", k, late)
+		sections += fmt.Sprintf("\"trigger.standing-%d\" = \"* * * * * * class=trip-quote late=%v\"\n", k,
+			late)
 	}
 	g.setSections("n1", sections)
 	within(t, time.Minute, "all triggers are fired", func() bool {
@@ -274,7 +275,7 @@
 		}
 		for k := range triggers {
 			if key := fmt.Sprintf("standing-%d@%s", k, at.Format(layout)); !ran[key] {
-				t.Errorf("%s, which was due %v after the end of %s, was never fired", key, at.Sub(killed), dead)
+				t.Errorf("%s, due %v after the end of %s, was never fired", key, at.Sub(killed), dead)
 			}
 		}
 	}
