Send the jobs of the test of worker subsets at the same time

TestInstancesUseSubsetsOfTheWorkers failed beside load: "condition not met within 1m0s: each instance uses three workers that no other uses". Reproduced at load averages of 28 to 35: 3 of 14.

Trace, from the log that the test now writes when it fails: no observation ever contradicted the condition (0 resets), the subsets were disjoint and three large, all sessions were open; one instance used two of its three workers only. The test sent one job at a time, so that every worker was idle at each draw, and the balancer may then prefer the others for as long as it likes: no page promises that an idle worker is drawn.

The test sends four jobs at a time to each instance, as its neighbours do, so that the third worker is the least loaded one.

--- a/cmd/moorstack/worker_subsets_test.go
+++ b/cmd/moorstack/worker_subsets_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// logUse logs what has been observed since the last reset, and each instance's view of the group.
+func (u *workerUse) logUse(resets int, names []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.t.Logf("%d resets", resets)
+	for _, name := range names {
+		out, _ := u.run("cluster", "status", "--config", name+".toml")
+		u.t.Logf("%s has used %v since the last reset\n%s", name, slices.Sorted(maps.Keys(u.used[name])), out)
+	}
+}
+
 // waitDisjoint waits until each of these instances uses size workers that no other one uses, and returns the
 // instance of each worker. The balancer chooses among an instance's workers and may not use one for long, so
 // what was observed is kept until it contradicts the condition.
@@ -66,12 +77,14 @@
 	u.mu.Lock()
 	u.reset()
 	u.mu.Unlock()
-	within(u.t, time.Minute, what, func() bool {
-		for _, name := range names {
-			for range 12 * size {
-				u.sendJob(name)
-			}
+	resets := 0
+	defer func() {
+		if u.t.Failed() {
+			u.logUse(resets, names)
 		}
+	}()
+	within(u.t, time.Minute, what, func() bool {
+		u.sendJobsToAll(names)
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		clear(instanceOf)
@@ -85,6 +98,7 @@
 		}
 		if largest > size || len(instanceOf) < n {
 			u.reset()
+			resets++
 		}
 		return n == size*len(names) && len(instanceOf) == n
 	})
