Review case 7: many commands at once at the Faktory front lose requests of the platform's

200 producers send 400 commands each at once, again and again; some 170 of 400 requests of the platform's front are answered over 5.55 s after their last byte, with a time-out of 5 s.

--- a/review/rig2/case_trigger.go
+++ b/review/rig2/case_trigger.go
@@ -135,7 +135,8 @@
 // repeatedCall fires a trigger while the workers are full for a moment and the answers to their call-backs get
 // lost, so that they call again.
 func repeatedCall(w *world) (v verdict) {
-	y := &yard{world: w, nodes: map[string]string{}, pods: map[string]string{}, first: map[string]time.Time{}, ran: map[string][]string{}}
+	y := &yard{world: w, nodes: map[string]string{}, pods: map[string]string{}, first: map[string]time.Time{},
+		ran: map[string][]string{}}
 	lists := map[string]*discovery{}
 	for _, name := range []string{"n1", "n2", "n3"} {
 		lists[name] = startDiscovery(w) // one service: the same list, with another address for each node
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,6 +26,7 @@
 	"trigger":  repeatedCall,
 	"restarts": plannedRestarts,
 	"slow":     slowWriters,
+	"flood":    manyCommands,
 }
 
 // verdict is what a case found: the breaks of the rule, or why it could not run.
