Make the balancer's decisions independent of the processor

Cause: math.Exp2 is assembly on arm64 and portable on x86-64, and they differ in the last bit; one decision depends on it. Of the same class, without a trace that shows it: math.Exp and math.Log, and some 40 sums whose product arm64 (and x86-64 from v3 on) leaves unrounded.

Change: internal/portablemath has Exp, Exp2 and Log by the algorithms that the standard library uses where it has no assembly, and the decision module calls them; products in sums are converted explicitly, which the language defines to round them. The golden file is unchanged.

Measured on arm64: the golden traces failed before and pass now. Built for x86-64 and run under user-mode emulation of an x86-64 processor: golden traces pass before and after, all tests of balancer and portablemath pass. Nothing was run on a real x86-64 processor.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -28,7 +28,8 @@
 	limit := slack - (now - q.arrivedAt).Seconds()
 	rates := b.classValueRates()
 	rate, notAbove := rates[q.Class], 1.0
-	if limit < 0 && wait+b.expectedRunTime(q)*b.relativeRunTime(now, w) < (q.deadline-now).Seconds() {
+	runTime := float64(b.expectedRunTime(q) * b.relativeRunTime(now, w))
+	if limit < 0 && wait+runTime < (q.deadline-now).Seconds() {
 		// A request that was lost by a failing worker is late when it is retried, and failing it has no
 		// value. It is ranked by the value of a late response, that is, below all requests that are not late.
 		limit, rate = slack, rate*q.class.LateShare
@@ -68,7 +69,7 @@
 	fraction := max(1/float64(b.settings.DispatcherCount), offered/max(allowed*b.observedSeconds, epsilon))
 	rate := b.settings.Tenants[q.Tenant].QuotaPerSecond * fraction
 	burst := max(rate*b.settings.Rules.SlowStartWindow.Seconds(), minQuotaBurst)
-	bucket.tokens = min(bucket.tokens+rate*(now-bucket.updatedAt).Seconds(), burst)
+	bucket.tokens = min(bucket.tokens+float64(rate*(now-bucket.updatedAt).Seconds()), burst)
 	bucket.updatedAt = now
 	bucket.offered++
 	if q.overQuota = bucket.tokens < 1; !q.overQuota {
@@ -80,8 +81,8 @@
 // latency objective.
 func (b *Balancer) waitSlack(now time.Duration, class int, w *worker) float64 {
 	c := &b.settings.Classes[class]
-	return max(0, c.LatencyObjective.Seconds()+
-		(c.ObjectiveStretch-b.relativeRunTime(now, w))*b.classRunTimes[class]/2)
+	stretch := c.ObjectiveStretch - b.relativeRunTime(now, w)
+	return max(0, c.LatencyObjective.Seconds()+float64(stretch*b.classRunTimes[class]/2))
 }
 
 // expectedWait returns the expected wait at w, in seconds, from the requests in flight there.
@@ -100,7 +101,7 @@
 func (b *Balancer) classValueRates() []float64 {
 	total, worst := 0.0, math.Inf(1)
 	for i, t := range b.classTallies {
-		total += t.offered * b.settings.Classes[i].PriorityWeight
+		total += float64(t.offered * b.settings.Classes[i].PriorityWeight)
 		worst = min(worst, t.servedShare())
 	}
 	for i, t := range b.classTallies {
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -82,7 +82,7 @@
 	}
 	requests := b.requestTimes.countAfter(now - rules.RetryBudgetWindow)
 	retries := b.retryTimes.countAfter(now - rules.RetryBudgetWindow - 1)
-	return float64(retries+1) <= rules.RetryBudgetBase+rules.RetryBudgetShare*float64(requests)
+	return float64(retries+1) <= rules.RetryBudgetBase+float64(rules.RetryBudgetShare*float64(requests))
 }
 
 // send starts an attempt. Every attempt is started here.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,8 +1,9 @@
 package balancer
 
 import (
-	"math"
 	"time"
+
+	"moorstack/internal/portablemath"
 )
 
 // The constants of the decisions.
@@ -139,7 +140,7 @@
 	}
 	dt := (now - b.averagedAt).Seconds()
 	b.averagedAt = now
-	b.decayAverages(math.Exp(-dt / window.Seconds()))
+	b.decayAverages(portablemath.Exp(-dt / window.Seconds()))
 	b.observedSeconds += dt
 	for _, w := range b.workers {
 		if w.State == Ready && b.warmUpFactor(now, w) == 1 {
--- a/balancer/draw.go
+++ b/balancer/draw.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"moorstack/internal/portablemath"
 )
 
 // pickWorker draws d distinct eligible workers and returns the least loaded one, with ties broken at random.
@@ -94,8 +96,8 @@
 // slots, and weighted by its relative run time. This differs from the paper, where all servers are equal and
 // every request is visible; here the requests of other dispatchers are not.
 func (b *Balancer) loadOf(now time.Duration, w *worker, q *request) float64 {
-	n := (b.slotsInUse(now, w) + q.slotsNeeded()*b.relativeRunTime(now, w) + ringStepLoad*w.ringDistance) /
-		b.slotsOf(w)
+	needed := float64(q.slotsNeeded() * b.relativeRunTime(now, w))
+	n := (b.slotsInUse(now, w) + needed + float64(ringStepLoad*w.ringDistance)) / b.slotsOf(w)
 	if w.Zone != b.settings.Zone {
 		n += min(crossZoneLoad*b.settings.Costs.CrossZone, maxCrossZoneLoad)
 	}
@@ -110,7 +112,7 @@
 // same few workers repeatedly.
 func (b *Balancer) updateRingDistances() {
 	// Multiples of the golden ratio distribute consecutive indices evenly.
-	_, point := math.Modf(float64(b.settings.DispatcherIndex) * math.Phi)
+	_, point := math.Modf(float64(float64(b.settings.DispatcherIndex) * math.Phi))
 	total, end, number := map[int]float64{}, map[int]float64{}, map[int]float64{}
 	for _, w := range b.workers {
 		total[w.Zone] += w.Size
@@ -129,7 +131,7 @@
 func (b *Balancer) slotsInUse(now time.Duration, w *worker) float64 {
 	n := w.inFlight + w.predecessorInFlight + max(0, w.othersInFlight)
 	if wait := b.observedWait(now, w); wait > 0 && b.meanRunTime > 0 {
-		n = max(n, b.slotsOf(w)*(1+wait/b.meanRunTime/b.relativeRunTime(now, w)))
+		n = max(n, float64(b.slotsOf(w)*(1+wait/b.meanRunTime/b.relativeRunTime(now, w))))
 	}
 	return n
 }
@@ -137,7 +139,7 @@
 // observedWait returns, in seconds, the larger of two waits at w: the last one observed, which shrinks over
 // time, and that of the oldest unstarted request.
 func (b *Balancer) observedWait(now time.Duration, w *worker) float64 {
-	return max(w.lastWait-(now-w.lastWaitAt).Seconds()*waitDrainRate, w.unstartedWait)
+	return max(w.lastWait-float64((now-w.lastWaitAt).Seconds()*waitDrainRate), w.unstartedWait)
 }
 
 // slotsOf returns how many requests w runs at once, as shown by load reports from workers of its kind.
@@ -152,5 +154,5 @@
 // drawSize returns d(N) = min(N, max(2, ceil(sqrt(N) ln N))), which grows slightly faster than the paper
 // requires.
 func drawSize(n int) int {
-	return min(n, max(2, int(math.Ceil(math.Sqrt(float64(n))*math.Log(float64(n))))))
+	return min(n, max(2, int(math.Ceil(math.Sqrt(float64(n))*portablemath.Log(float64(n))))))
 }
--- a/balancer/health_checks.go
+++ b/balancer/health_checks.go
@@ -19,7 +19,8 @@
 		return true
 	}
 	b.loadsStale = b.settings.LoadReportsByCheck && b.settings.Limits.HealthChecks &&
-		float64(len(b.workers))*b.observedSeconds > b.arrivals*b.minTimeout.Seconds()*staleReportTimeouts
+		float64(len(b.workers))*b.observedSeconds >
+			float64(b.arrivals*b.minTimeout.Seconds())*staleReportTimeouts
 	if !b.loadsStale {
 		return false
 	}
--- a/balancer/learn.go
+++ b/balancer/learn.go
@@ -44,7 +44,7 @@
 	usual := &b.classRunTimes[q.Class]
 	*usual = cmp.Or(*usual, ran)
 	if hint := q.ExpectedWork.Seconds(); hint > 0 {
-		b.hintRatio += slowWeight * (min(ran/hint, maxRunTimeFactor) - b.hintRatio)
+		b.hintRatio = movingAverage(b.hintRatio, min(ran/hint, maxRunTimeFactor), slowWeight)
 	}
 	expected := max(b.expectedRunTime(q), epsilon)
 	ran = min(ran, maxRunTimeFactor*expected)
@@ -52,12 +52,12 @@
 	// Each kind has its own factor: if there are many workers, a dispatcher sends to each one too rarely to
 	// learn a factor for each worker. The lower bound keeps running times of zero from making a factor zero.
 	kind := &b.kindRunTimeFactors[w.Kind]
-	*kind = max(slowWeight, *kind+slowWeight/4*(sample/w.runTimeFactor-*kind))
-	w.runTimeFactor = max(slowWeight, w.runTimeFactor+slowWeight/4*(sample / *kind - w.runTimeFactor))
-	*usual += slowWeight * (ran - *usual)
-	b.meanRunTime += slowWeight * (ran - b.meanRunTime)
+	*kind = max(slowWeight, movingAverage(*kind, sample/w.runTimeFactor, slowWeight/4))
+	w.runTimeFactor = max(slowWeight, movingAverage(w.runTimeFactor, sample / *kind, slowWeight/4))
+	*usual = movingAverage(*usual, ran, slowWeight)
+	b.meanRunTime = movingAverage(b.meanRunTime, ran, slowWeight)
 	c := q.class
-	if (now - q.arrivedAt).Seconds() <= c.LatencyObjective.Seconds()+c.ObjectiveStretch*ran {
+	if (now - q.arrivedAt).Seconds() <= c.LatencyObjective.Seconds()+float64(c.ObjectiveStretch*ran) {
 		b.classTallies[q.Class].served += b.goalUnits(q)
 	}
 }
@@ -82,7 +82,7 @@
 	if b.loadsStale {
 		weight = 1 // what was known before is outdated
 	}
-	w.othersInFlight += weight * (inUse - w.inFlight - w.predecessorInFlight - w.othersInFlight)
+	w.othersInFlight += float64(weight * (inUse - w.inFlight - w.predecessorInFlight - w.othersInFlight))
 }
 
 // decayedRecentWait returns the recent wait of requests at any worker, in seconds. It shrinks over time.
@@ -93,8 +93,18 @@
 // observeWait updates the averages with the wait of a request, in seconds.
 func (b *Balancer) observeWait(now time.Duration, wait float64) {
 	recent := b.decayedRecentWait(now)
-	b.recentWait, b.recentWaitAt = recent+fastWeight*(wait-recent), now
-	if b.waitingShare *= 1 - slowWeight; wait > minWaitShare*b.meanRunTime {
+	b.recentWait, b.recentWaitAt = movingAverage(recent, wait, fastWeight), now
+	if b.waitingShare = float64(b.waitingShare * (1 - slowWeight)); wait > minWaitShare*b.meanRunTime {
 		b.waitingShare += slowWeight
 	}
 }
+
+// movingAverage returns an exponential moving average after one more sample, which counts with the given
+// weight.
+//
+// The conversion rounds the product, here and in all sums of this package: where the processor has fused
+// multiply-add, the compiler may otherwise leave that rounding out, and dispatchers on different processors
+// would decide differently.
+func movingAverage(average, sample, weight float64) float64 {
+	return average + float64(weight*(sample-average))
+}
--- a/balancer/outliers.go
+++ b/balancer/outliers.go
@@ -3,8 +3,9 @@
 // Decisions: which workers are ejected as outliers.
 
 import (
-	"math"
 	"time"
+
+	"moorstack/internal/portablemath"
 )
 
 // healthy reports whether w is not ejected for q. If no worker is healthy, all are drawn (panic mode).
@@ -25,7 +26,7 @@
 		return 1
 	}
 	if w.failureScore > 0 { // skips computing the power for healthy workers
-		w.failureScore *= math.Exp2(-float64(now-w.failureScoreAt) / float64(b.minTimeout/2))
+		w.failureScore *= portablemath.Exp2(-float64(now-w.failureScoreAt) / float64(b.minTimeout/2))
 	}
 	w.failureScoreAt = now
 	return w.failureScore
@@ -33,7 +34,7 @@
 
 // observeFailure records a failure at w, seen by this dispatcher or reported by another.
 func (b *Balancer) observeFailure(now time.Duration, w *worker) {
-	w.failureScore = b.decayedFailureScore(now, w) + fastWeight*(1-w.failureScore)
+	w.failureScore = b.decayedFailureScore(now, w) + float64(fastWeight*(1-w.failureScore))
 }
 
 // unresponsive reports whether w runs a request of this dispatcher and has missed several progress reports.
--- a/balancer/slow_start.go
+++ b/balancer/slow_start.go
@@ -15,7 +15,7 @@
 		return 1
 	}
 	age := float64(max(now-w.StartedAt, 0)) / float64(r.SlowStartWindow)
-	return max(r.SlowStartMinShare+(1-r.SlowStartMinShare)*age, epsilon)
+	return max(r.SlowStartMinShare+float64((1-r.SlowStartMinShare)*age), epsilon)
 }
 
 // withinSlowStart reports whether the slow-start budget of a worker has room for more work. For a warm worker
@@ -63,9 +63,9 @@
 // statisticalMargin returns how many requests the overload rule allows in a window beyond its nominal number.
 func statisticalMargin(requests float64) float64 {
 	if requests < 30 {
-		return 3*math.Sqrt(requests) + 3
+		return float64(3*math.Sqrt(requests)) + 3
 	}
-	return 2*math.Sqrt(requests) + 2
+	return float64(2*math.Sqrt(requests)) + 2
 }
 
 // timeSlot describes how a dispatcher uses its part of a worker's slow-start budget: in one of every windows
@@ -152,7 +152,7 @@
 func (b *Balancer) kindRate(kind int) float64 {
 	l := &b.kindLoads[kind]
 	rate := l.work / max(l.seconds, epsilon)
-	return max(rate, (rate*fullPriorSeconds+l.fullWork)/(fullPriorSeconds+l.fullSeconds))
+	return max(rate, (float64(rate*fullPriorSeconds)+l.fullWork)/(fullPriorSeconds+l.fullSeconds))
 }
 
 // expectedWork returns the expected work of a request, in slot seconds.
