Answer requests that arrive late in a shutdown before SIGKILL

Cause: the drain keeps a connection with a part of a request open, and what becomes complete on it was submitted with the client's whole time-out, 15 s; nothing knew when the process may be killed. Evidence: the drain's log has 0 jobs on 10 connections at 1.0 s and 10 jobs at 2.0 s, so they were taken after the grace, and not taken earlier and sent late.

Change: drain.Machine knows by when a late request is due: 0.3 s before the earliest SIGKILL, if it arrived over HealthCheckGrace after the shutdown began and can't migrate to another process. The front shortens its time-out to that, and the balancer, by the new Request.MustFinish, rejects it at once where no attempt is expected to end by then. So it has its final response in any case, and costs no work that can't count.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -50,6 +50,12 @@
 	return wait <= limit*rank*rank
 }
 
+// expectedToFinish reports whether q, if it is sent to w now, is expected to end within its timeout.
+func (b *Balancer) expectedToFinish(now time.Duration, q *request, w *worker) bool {
+	runTime := float64(b.expectedRunTime(q) * b.relativeRunTime(now, w))
+	return b.expectedWait(now, w)+runTime <= (q.deadline - now).Seconds()
+}
+
 // chargeQuota spends a token of the tenant's bucket for a request, or marks the request as over quota. This
 // dispatcher's fraction of the quota is an equal share, or the fraction of their own quotas that the other
 // tenants use here, if that is larger.
--- a/balancer/admission_test.go
+++ b/balancer/admission_test.go
@@ -276,3 +276,32 @@
 		r.endAttempt(r.lastSend(), OK)
 	}
 }
+
+// A request that must finish is rejected at once where its class runs for longer than it has, and sent where
+// it is expected to end in time or where nothing is known yet.
+func TestRequestThatCannotFinishIsRejected(t *testing.T) {
+	r := newRecorder(t, testSettings())
+	r.updateWorkers(ListFull, readyWorkers(2)...)
+	submit := func(n int, timeout time.Duration, mustFinish bool) string {
+		q := testRequest(n, nonIdempotentClass)
+		q.Timeout, q.MustFinish = timeout, mustFinish
+		r.submit(q)
+		return r.requests[q.ID].final
+	}
+	if got := submit(0, 300*time.Millisecond, true); got != "" {
+		t.Errorf("without an estimate: final response %q, want it sent", got)
+	}
+	r.endAttempt(r.lastSend(), OK)
+	r.serveEach(1, 20, nonIdempotentClass, 200*time.Millisecond, NoLoadReport)
+	if got := submit(30, 100*time.Millisecond, true); got != "rejected" {
+		t.Errorf("with too little time: final response %q, want rejected", got)
+	}
+	if got := submit(31, 300*time.Millisecond, true); got != "" {
+		t.Errorf("with enough time: final response %q, want it sent", got)
+	}
+	r.endAttempt(r.lastSend(), OK)
+	if got := submit(32, 100*time.Millisecond, false); got != "" {
+		t.Errorf("that need not finish: final response %q, want it sent", got)
+	}
+	r.endAttempt(r.lastSend(), OK)
+}
--- a/balancer/api.go
+++ b/balancer/api.go
@@ -70,6 +70,7 @@
 
 	Route       Route // nil: any worker
 	MaxAttempts int   // a limit lower than the class's; 0: none
+	MustFinish  bool  // reject it rather than start an attempt that is not expected to end within Timeout
 }
 
 // Result is how an attempt or a health check ended.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -81,7 +81,8 @@
 func (b *Balancer) startAttempt(now time.Duration, q *request) bool {
 	for q.startRoute(); ; {
 		w := b.pickWorker(now, q)
-		if w != nil && (w.needsTrialRequest && len(q.attempts) == 0 || b.admits(now, q, w)) {
+		if w != nil && (!q.MustFinish || b.expectedToFinish(now, q, w)) &&
+			(w.needsTrialRequest && len(q.attempts) == 0 || b.admits(now, q, w)) {
 			b.send(now, q, w)
 			return true
 		}
--- a/cmd/moorstack/shutdown_test.go
+++ b/cmd/moorstack/shutdown_test.go
@@ -171,3 +171,64 @@
 		t.Errorf("%d requests were forwarded, want the two that were complete", n)
 	}
 }
+
+// Guards against a request that is taken late in a planned restart and found unanswered by SIGKILL: its
+// client completes it over a second after SIGTERM, on a connection that stays open because part of it had
+// come. It is served if it can be finished, rejected at once and not forwarded if jobs of its class run for
+// too long, and has its final response before SIGKILL in any case, also if it runs longer than others of its
+// class.
+func TestLateRequestIsAnsweredBeforeSIGKILL(t *testing.T) {
+	t.Parallel()
+	const longJob = 2700 * time.Millisecond
+	w := startNode(t, 2, func(_ int, s workerCall, rw http.ResponseWriter) {
+		rw.WriteHeader(202)
+		duration := 10 * time.Millisecond
+		if strings.HasPrefix(s.body, "long") {
+			duration = longJob
+		}
+		go func() {
+			time.Sleep(duration)
+			s.worker.node.callBack(s.id, s.worker.name, "done", "did "+s.body)
+		}()
+	})
+	// Without a cost, a job is expected to run for as long as others of its class.
+	lateJob := func(id, class, body string) string {
+		return strings.Replace(jobRequest(id, class, "15000m", body), "X-Cost: 1000\r\n", "", 1)
+	}
+	earlier := w.dial().send(lateJob("earlier", "book", "long"))
+	w.dial().send(lateJob("earlier-short", "quote", "short")).expectResponse(200, "did short")
+	earlier.expectResponse(200, "did long")
+
+	begin := func(id, class, body string) (c *client, rest string) {
+		request := lateJob(id, class, body)
+		half := len(request) - len(body)
+		return w.dial().send(request[:half]), request[half:]
+	}
+	short, shortRest := begin("short", "quote", "short")
+	long, longRest := begin("long", "book", "long one")
+	unlike, unlikeRest := begin("unlike", "quote", "long, unlike others of its class")
+	check(t, w.cmd.Process.Signal(syscall.SIGTERM))
+	signalled := time.Now()
+	time.Sleep(1200 * time.Millisecond)
+	short.send(shortRest)
+	unlike.send(unlikeRest)
+	long.send(longRest)
+	if resp := long.expectResponse(503, ""); resp.Header.Get("Retry-After") == "" {
+		t.Error("the request that could not be finished was rejected without Retry-After")
+	}
+	if after := time.Since(signalled); after > 2*time.Second {
+		t.Errorf("the request that could not be finished was rejected %v after SIGTERM, want at once", after)
+	}
+	short.expectResponse(200, "did short")
+	unlike.expectResponse(503, "") // its class may be repeated
+	if after := time.Since(signalled); after > sigkillAfter {
+		t.Errorf("the last response came %v after SIGTERM, when SIGKILL would have come", after)
+	}
+	if n := w.callCount("POST"); n != 4 {
+		t.Errorf("%d requests were forwarded, want the 4 that could be finished", n)
+	}
+	for _, c := range []*client{short, long, unlike} {
+		c.Close()
+	}
+	check(t, w.cmd.Wait())
+}
--- a/internal/frontend/platform/client.go
+++ b/internal/frontend/platform/client.go
@@ -180,6 +180,7 @@
 	}
 	if err == nil {
 		c.requestID, c.awaitsResponse = r.ID, true
+		c.front.limitToShutdown(&r, c.conn.LastActivity())
 		if err = c.front.broker.Submit(r, c); err == nil {
 			return
 		}
--- a/internal/frontend/platform/drain.go
+++ b/internal/frontend/platform/drain.go
@@ -4,6 +4,9 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"moorstack/internal/proxy/broker"
 	"moorstack/internal/proxy/drain"
 )
 
@@ -57,10 +60,11 @@
 	return err
 }
 
-// BeginShutdown begins a graceful shutdown: requests are still accepted for a while, all accepted requests
-// are completed, and then done is called. Only the first call has an effect.
+// BeginShutdown begins a graceful shutdown: requests are still accepted for a while, and after that if they
+// can be finished before the process may be killed. All accepted requests are completed, and then done is
+// called. Only the first call has an effect.
 func (f *Front) BeginShutdown(done func()) {
-	if !f.drain.BeginShutdown(f.loop.Now()) {
+	if !f.drain.BeginShutdown(f.loop.Now(), drain.TerminationGrace(f.longestTimeout())) {
 		return
 	}
 	f.shutdownAt = f.loop.Now()
@@ -68,6 +72,28 @@
 	f.loop.At(f.drain.ClosingAt(), func() { f.awaitDrained(f.loop.Now()+partialRequestGrace, done) })
 }
 
+// longestTimeout returns the longest timeout of a class.
+func (f *Front) longestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for i := range f.cfg.Settings.Classes {
+		longest = max(longest, time.Duration(f.cfg.Settings.Classes[i].Timeout))
+	}
+	return longest
+}
+
+// limitToShutdown limits the timeout of a request that arrives late in a shutdown, so that it has its final
+// response before the process may be killed.
+func (f *Front) limitToShutdown(r *broker.Request, arrivedAt time.Duration) {
+	due, limited := f.drain.ResponseDue(arrivedAt)
+	remaining := due - f.loop.Now()
+	if !limited || r.Timeout <= remaining {
+		return
+	}
+	r.Timeout, r.MustFinish = remaining, true
+	f.log.WithFields(logrus.Fields{"request_id": r.ID, "remaining": remaining}).
+		Info("request arrived late in the shutdown, its timeout is shortened")
+}
+
 // ShutdownRequestedAt returns when the graceful shutdown was requested; 0: not requested.
 func (f *Front) ShutdownRequestedAt() time.Duration { return f.shutdownAt }
 
--- a/internal/frontend/platform/shutdown_test.go
+++ b/internal/frontend/platform/shutdown_test.go
@@ -31,7 +31,7 @@
 	e.client = sendRequest(t, address, "last")
 	<-w.attempts
 	e.onLoop(func() { // like BeginShutdown, but without awaitDrained, which the test calls
-		f.drain.BeginShutdown(f.loop.Now())
+		f.drain.BeginShutdown(f.loop.Now(), drain.TerminationGrace(f.longestTimeout()))
 		f.scheduleClosing()
 	})
 	for closing := false; !closing; time.Sleep(time.Millisecond) {
--- a/internal/proxy/broker/request.go
+++ b/internal/proxy/broker/request.go
@@ -15,11 +15,12 @@
 	// Account is the account whose rate limit the request counts against. It is empty if the front does not
 	// know one.
 	Account      string
-	Timeout      time.Duration // from now until the client gives up
+	Timeout      time.Duration // from now until the final response is due
 	ExpectedWork time.Duration // run time on a standard core; 0: unknown
 	Slots        float64       // worker slots that it occupies; 0: unknown
 	Memory       float64       // units of memory that it occupies; 0: unknown
 	IsRetry      bool          // the client has marked it as a retry
+	MustFinish   bool          // reject it rather than start an attempt that is not expected to end in time
 	Payload      any           // passed unchanged to the front's endpoints
 
 	Route          balancer.Route // nil: any endpoint
@@ -120,7 +121,7 @@
 func (r *Request) forBalancer() balancer.Request {
 	return balancer.Request{Class: r.Class, Tenant: r.Tenant, Timeout: r.Timeout,
 		ExpectedWork: r.ExpectedWork, Slots: r.Slots, Memory: r.Memory, Route: r.Route,
-		MaxAttempts: r.MaxAttempts}
+		MaxAttempts: r.MaxAttempts, MustFinish: r.MustFinish}
 }
 
 // Explain returns, by endpoint name, whether the endpoint is eligible for a request that arrived now, at a
--- a/internal/proxy/drain/drain.go
+++ b/internal/proxy/drain/drain.go
@@ -38,6 +38,23 @@
 // planned restart they keep arriving for 0.4 s.
 const HealthCheckGrace = 500 * time.Millisecond
 
+// How long after SIGTERM the platform sends SIGKILL in a planned restart, at the earliest: the longest
+// timeout of a request, of which maxCountedTimeout counts at most, and terminationReserve.
+const (
+	maxCountedTimeout  = 3 * time.Second
+	terminationReserve = 700 * time.Millisecond
+)
+
+// stallReserve is how much earlier than SIGKILL a response must be due: the process may be held up for 0.15 s
+// before it handles SIGTERM, and again before it writes the response.
+const stallReserve = 300 * time.Millisecond
+
+// TerminationGrace returns the time from SIGTERM to SIGKILL on a node whose requests have at most the given
+// timeout.
+func TerminationGrace(longestTimeout time.Duration) time.Duration {
+	return min(longestTimeout, maxCountedTimeout) + terminationReserve
+}
+
 // Operators receive the texts of these errors, so they must not change.
 var (
 	// ErrTakenOver is returned by EndStandby in a process that another one has replaced.
@@ -51,6 +68,8 @@
 type Machine struct {
 	state               State
 	shuttingDown        bool
+	shutdownAt          time.Duration // when the shutdown began
+	terminationGrace    time.Duration // from shutdownAt until the process may be killed
 	takenOver           bool
 	stateBeforeTakeover State         // the state to which AbortTakeover returns
 	closingAt           time.Duration // when the state Unready ends
@@ -78,17 +97,32 @@
 	return true
 }
 
-// BeginShutdown starts a drain that can't be ended. A drain in progress continues from its current state.
-// BeginShutdown reports whether this is its first call.
-func (m *Machine) BeginShutdown(now time.Duration) bool {
+// BeginShutdown starts a drain that can't be ended, after which the process may be killed when
+// terminationGrace has passed. A drain in progress continues from its current state. BeginShutdown reports
+// whether this is its first call.
+func (m *Machine) BeginShutdown(now, terminationGrace time.Duration) bool {
 	first := !m.shuttingDown
-	m.shuttingDown = true
+	if first {
+		m.shuttingDown, m.shutdownAt, m.terminationGrace = true, now, terminationGrace
+	}
 	if m.BeginStandby(now); m.state == ClosingConnections {
 		m.closingAt = now
 	}
 	return first
 }
 
+// ResponseDue returns the time by which a request that has arrived at the given time must have its final
+// response, and whether there is one. A request that arrives late in a shutdown has one: what SIGKILL finds
+// unanswered is lost. Requests that arrive in the first HealthCheckGrace have none, since load balancers may
+// not have noticed the shutdown yet. Neither have those of a process that another one has replaced: they
+// migrate to that process.
+func (m *Machine) ResponseDue(arrivedAt time.Duration) (due time.Duration, limited bool) {
+	if !m.shuttingDown || m.takenOver || arrivedAt <= m.shutdownAt+HealthCheckGrace {
+		return 0, false
+	}
+	return m.shutdownAt + m.terminationGrace - stallReserve, true
+}
+
 // BeginTakeover starts a drain because another process replaces this one. It skips the state Unready, because
 // new connections already go to the other process.
 func (m *Machine) BeginTakeover() {
--- a/internal/proxy/drain/drain_test.go
+++ b/internal/proxy/drain/drain_test.go
@@ -47,7 +47,7 @@
 		var m Machine
 		before(&m)
 		stateBefore := m.State()
-		if !m.BeginShutdown(HealthCheckGrace) || m.BeginShutdown(HealthCheckGrace) {
+		if !m.BeginShutdown(HealthCheckGrace, time.Second) || m.BeginShutdown(HealthCheckGrace, time.Second) {
 			t.Fatal("only the first BeginShutdown must return true")
 		}
 		if stateBefore != Serving && m.State() != stateBefore {
@@ -58,3 +58,43 @@
 		}
 	}
 }
+
+// Guards against a request that is taken in a shutdown for longer than the process has: only those that
+// arrive late are limited, and not in a process whose open requests migrate to another one.
+func TestResponseDueInAShutdown(t *testing.T) {
+	const begun, grace = time.Minute, 3700 * time.Millisecond
+	m := Machine{}
+	m.BeginStandby(begun - 10*time.Second)
+	m.Advance(begun - 9*time.Second)
+	if _, limited := m.ResponseDue(begun); limited {
+		t.Error("a request in standby is limited")
+	}
+	m.BeginShutdown(begun, grace)
+	m.BeginShutdown(begun+time.Second, grace)
+	if _, limited := m.ResponseDue(begun + HealthCheckGrace); limited {
+		t.Error("a request within HealthCheckGrace is limited")
+	}
+	due, limited := m.ResponseDue(begun + HealthCheckGrace + 1)
+	if !limited || due <= begun+HealthCheckGrace || due > begun+grace-stallReserve {
+		t.Errorf("a late request is due at %v, %v, want before the process may be killed", due, limited)
+	}
+	m.BeginTakeover()
+	if _, limited := m.ResponseDue(begun + time.Second); limited {
+		t.Error("a request that can migrate is limited")
+	}
+	if m.AbortTakeover(); m.takenOver {
+		t.Fatal("the takeover was not aborted")
+	}
+	if _, limited := m.ResponseDue(begun + time.Second); !limited {
+		t.Error("a late request is not limited after the other process has ended")
+	}
+}
+
+func TestTerminationGraceCountsThreeSecondsAtMost(t *testing.T) {
+	for timeout, want := range map[time.Duration]time.Duration{time.Second: 1700 * time.Millisecond,
+		15 * time.Second: 3700 * time.Millisecond} {
+		if got := TerminationGrace(timeout); got != want {
+			t.Errorf("a timeout of %v: got %v, want %v", timeout, got, want)
+		}
+	}
+}
