Recognise a worker's repeated call-back, so that it can't end a later attempt

Cause: a call-back names request and worker, not the attempt. A rejected occurrence is submitted again under the same id, so the repeat of a handled "returned" ended the attempt of the next submission as never run. Evidence: in the case's record the attempt in the second pod comes within 1 ms of a repeat each time, from the one instance that fires the occurrence, 0.4 s after the first submission has ended.

Change: the front notes each response to a call-back that did not reach the worker: the connection was reset, or the peer's kernel has not acknowledged it. For each one, the next equal call-back is the repeat; it is answered and changes nothing. Counting makes it right in every order of repeats and new call-backs. eventloop.Conn gets OnClosed and OutputAcknowledged for it.

--- a/internal/frontend/platform/call_back.go
+++ b/internal/frontend/platform/call_back.go
@@ -28,16 +28,50 @@
 	Load      map[string]float64 `json:"load"`
 }
 
-// handleCallBack applies a call-back, and reports false if it belongs to no attempt of this process. A
-// call-back may come before the 202, more than once, or late; it ends only an attempt that is outstanding at
-// the worker that sent it. A malformed call-back is logged and counts as handled.
-func (f *Front) handleCallBack(body []byte) bool {
-	var cb callBack
-	if err := json.Unmarshal(body, &cb); err != nil {
+// key returns what identifies the call-back.
+func (cb *callBack) key() callBackKey { return callBackKey{cb.RequestID, cb.Worker, cb.State} }
+
+// parseCallBack parses the body of a call-back. It returns nil if the body is malformed, which is logged.
+func (f *Front) parseCallBack(body []byte) *callBack {
+	cb := &callBack{}
+	if err := json.Unmarshal(body, cb); err != nil {
 		f.log.WithError(err).Warn("malformed call-back")
+		return nil
+	}
+	return cb
+}
+
+// handleCallBack parses and applies a call-back, and reports false if it belongs to no attempt of this
+// process. A malformed call-back counts as handled.
+func (f *Front) handleCallBack(body []byte) bool {
+	cb := f.parseCallBack(body)
+	return cb == nil || f.applyCallBack(cb)
+}
+
+// isRepeat reports whether a call-back is the repeat of one whose response did not reach the worker. Such a
+// call-back was handled when it arrived first.
+func (f *Front) isRepeat(cb *callBack) bool {
+	if !cb.State.endsWithoutResult() {
+		return false
+	}
+	key := cb.key()
+	if f.repeats.consume(key, f.loop.Now()) {
 		return true
 	}
-	if f.handleAdoptedCallBack(&cb) {
+	for c, responded := range f.unconfirmed {
+		if responded == key && !c.conn.OutputAcknowledged() {
+			c.forgetCallBack() // the repeat has arrived before the connection's end was noticed
+			return true
+		}
+	}
+	return false
+}
+
+// applyCallBack applies a call-back, and reports false if it belongs to no attempt of this process. A
+// call-back may come before the 202 or late; it ends only an attempt that is outstanding at the worker that
+// sent it.
+func (f *Front) applyCallBack(cb *callBack) bool {
+	if f.handleAdoptedCallBack(cb) {
 		return true
 	}
 	report := balancer.NoLoadReport
--- a/internal/frontend/platform/client.go
+++ b/internal/frontend/platform/client.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"moorstack/internal/netio/eventloop"
 	"moorstack/internal/netio/http1"
 	"moorstack/internal/proxy/broker"
@@ -74,6 +76,7 @@
 		}
 		c.conn.BeginProcessing()
 		c.sentMessage = true
+		c.forgetCallBack() // its response has been read, as messages are sent one at a time
 		c.closeAfterResponse = c.parser.Close
 		m, body := c.parser.Message, append([]byte(nil), c.parser.Body(c.conn.Input())...)
 		c.conn.Discard(c.parser.MessageSize())
@@ -134,9 +137,16 @@
 
 func (c *client) handleCallBack(body []byte) {
 	c.isWorker = true
+	cb := c.front.parseCallBack(body)
 	switch {
-	case c.front.handleCallBack(body):
+	case cb == nil:
 		c.respond(204, "", nil)
+	case c.front.isRepeat(cb):
+		c.front.log.WithFields(logrus.Fields{"request_id": cb.RequestID, "worker": cb.Worker,
+			"state": cb.State}).Info("repeated call-back ignored")
+		c.respondCallBack(cb)
+	case c.front.applyCallBack(cb):
+		c.respondCallBack(cb)
 	case c.front.forwardCallBack(c, body):
 	case c.front.loop.Now() < c.front.unlinkedPeerUntil:
 		// The attempt may belong to an unlinked process that shares this address. The worker repeats the
@@ -144,8 +154,29 @@
 		c.respond(503, "", nil)
 	default:
 		// The request is unknown, but any other status would make the worker repeat the call-back.
-		c.respond(204, "", nil)
+		c.respondCallBack(cb)
+	}
+}
+
+// respondCallBack confirms a call-back to its worker, and records it as repeated if the connection ends
+// before the worker has the response.
+func (c *client) respondCallBack(cb *callBack) {
+	if cb.State.endsWithoutResult() {
+		key := cb.key()
+		c.front.unconfirmed[c] = key
+		c.conn.OnClosed = func(acknowledged bool) {
+			if delete(c.front.unconfirmed, c); !acknowledged {
+				c.front.repeats.responseLost(key, c.front.loop.Now())
+			}
+		}
 	}
+	c.respond(204, "", nil)
+}
+
+// forgetCallBack stops the watch for a lost response that respondCallBack has begun.
+func (c *client) forgetCallBack() {
+	delete(c.front.unconfirmed, c)
+	c.conn.OnClosed = nil
 }
 
 func (c *client) handleHealthCheck() {
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -22,14 +22,18 @@
 	log      logrus.FieldLogger
 	listener *eventloop.Listener
 
-	clients    map[*client]struct{}
-	workers    map[string]*worker     // by id
-	entries    map[string]workerEntry // the endpoint list in discovery's format, by id
-	adopted    map[string]*client     // requests migrated from the other process, by request id
-	peerState                         // state shared with the other process of this node
-	discovery  *discoveryClient       // calls discovery
-	initial    initialList            // the endpoint list from the configuration
-	startTimes startTimes             // of workers
+	clients map[*client]struct{}
+	workers map[string]*worker     // by id
+	entries map[string]workerEntry // the endpoint list in discovery's format, by id
+	adopted map[string]*client     // requests migrated from the other process, by request id
+	repeats callBackRepeats        // of call-backs whose responses were lost
+	// unconfirmed holds the connections on which a call-back got its response, until the worker has certainly
+	// read it.
+	unconfirmed map[*client]callBackKey
+	peerState                    // state shared with the other process of this node
+	discovery   *discoveryClient // calls discovery
+	initial     initialList      // the endpoint list from the configuration
+	startTimes  startTimes       // of workers
 
 	drain         drain.Machine
 	shutdownAt    time.Duration // when the graceful shutdown was requested; 0: not requested
@@ -51,6 +55,7 @@
 		workers:       map[string]*worker{},
 		entries:       map[string]workerEntry{},
 		adopted:       map[string]*client{},
+		unconfirmed:   map[*client]callBackKey{},
 		peerState:     peerState{forwarded: map[uint64]forwardedCallBack{}},
 		counters:      metrics.Counters{Classes: make([]metrics.ClassCounters, len(cfg.Settings.Classes))},
 		reuseFailedAt: -reuseBackoff,
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -67,6 +68,11 @@
 	// OnSent, if set, is called once, when the kernel has accepted all output.
 	OnSent func()
 
+	// OnClosed, if set, is called once when either side has closed the connection, before OnClose.
+	// acknowledged reports whether all output was sent and the peer's kernel has acknowledged it. It is false
+	// if the connection was reset: the peer may have dropped what it had not read.
+	OnClosed func(acknowledged bool)
+
 	// ReadAfterWriteError makes a failed write drop the pending output only: input that the peer sent before
 	// it closed the connection is still read, and OnClose is called after it.
 	ReadAfterWriteError bool
@@ -94,6 +100,7 @@
 	paused         bool   // epoll reports nothing until a retry: the kernel was out of a resource
 	inputBlocked   bool   // no buffer space for input pipelined behind the message being processed
 	unsentAtClose  int    // bytes of output that the kernel had not accepted at Close
+	reset          bool   // the connection has failed: the peer may not have read all output
 	discardedBytes int    // input received after CloseAfterFlush
 }
 
@@ -268,6 +275,8 @@
 	if c.closed {
 		return
 	}
+	onClosed := c.OnClosed
+	acknowledged := onClosed != nil && c.OutputAcknowledged()
 	c.unsentAtClose, c.closed = c.UnsentBytes(), true
 	if c.finishing && c.listener != nil {
 		c.listener.lingering--
@@ -284,6 +293,9 @@
 		ln.bufferBytes -= c.countedBytes
 		ln.setPaused(false)
 	}
+	if onClosed != nil {
+		onClosed(acknowledged)
+	}
 }
 
 // CloseAfterFlush sends the pending output, shuts down the sending side, and closes the connection when the
@@ -309,6 +321,7 @@
 
 // terminate closes the connection because of the peer, an error or a limit, and informs the handler.
 func (c *Conn) terminate(err error) {
+	c.reset = !errors.Is(err, io.EOF) && !errors.Is(err, errMessageTimeout) && !errors.Is(err, errEvicted)
 	if c.Close(); !c.finishing {
 		c.Handler.OnClose(c, err)
 	}
--- a/internal/netio/eventloop/peek.go
+++ b/internal/netio/eventloop/peek.go
@@ -36,10 +36,29 @@
 	if c.closed {
 		return true
 	}
-	const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	return c.pollEvents()&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// pollEvents returns the events of an open connection that tell of its end.
+func (c *Conn) pollEvents() int16 {
 	state := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(state, 0)
-	return err == nil && n > 0 && state[0].Revents&closedEvents != 0
+	if n, err := unix.Poll(state, 0); err != nil || n == 0 {
+		return 0
+	}
+	return state[0].Revents
+}
+
+// OutputAcknowledged reports whether the peer's kernel has acknowledged all output, and the connection has
+// not been reset. A peer whose process lives then reads the output, unless it closes the connection before.
+func (c *Conn) OutputAcknowledged() bool {
+	if c.closed || c.reset || c.UnsentBytes() > 0 || c.pollEvents()&unix.POLLERR != 0 {
+		return false
+	}
+	unacknowledged, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	if c.finishing {
+		unacknowledged-- // the end of the output counts as a byte
+	}
+	return err != nil || unacknowledged <= 0
 }
 
 // Stale reports whether a connection that should be idle was closed or has unsolicited input.
