Migrate requests that come after an upgraded process has reported itself drained

Callers would see: a client that opens a connection just before an upgrade and sends its first request after it gets a reset at the old process's SIGKILL, if the job takes longer than that process has.

Cause: the old process migrates open requests in the step that reports its state, every 20 ms, and the steps ended with the report that it has drained; connections opened within the last 0.5 s stay open after that.

Change: the steps go on until the link ends; the report is sent once.

TestUpgradeWithARequestAfterTheOldProcessHasDrained failed before (the old process ended 5.2 s after SIGTERM, SIGKILL comes at 3.7 s) and passes, four runs.

--- a/cmd/moorstack/upgrade_test.go
+++ b/cmd/moorstack/upgrade_test.go
@@ -415,3 +415,61 @@
 	check(t, o.cmd.Wait())
 	o.cmd = next
 }
+
+// Guards against a request that only a process which is about to be killed can finish: it comes on a
+// connection that was opened just before the upgrade, after the old process has reported that it has no open
+// requests. The old process must still migrate it, end before SIGKILL, and the client must get the job's
+// result.
+func TestUpgradeWithARequestAfterTheOldProcessHasDrained(t *testing.T) {
+	const jobTime = 4200 * time.Millisecond // longer than the old process has from SIGTERM on
+	for range 5 {
+		if upgradeWithLateRequests(t, jobTime) {
+			return
+		}
+	}
+	t.Error("in no upgrade did the old process get a request after it had drained")
+}
+
+// upgradeWithLateRequests upgrades a node while connections are opened, and sends a job on each once the new
+// process is ready. It reports whether the old process got one of them.
+func upgradeWithLateRequests(t *testing.T, jobTime time.Duration) (oldGotRequests bool) {
+	t.Helper()
+	u := startUpgradableNode(t, 2)
+	for _, h := range u.workers {
+		h.handle = func(_ int, s workerCall, rw http.ResponseWriter) {
+			rw.WriteHeader(202)
+			time.AfterFunc(jobTime, func() {
+				s.worker.node.callBack(s.id, s.worker.name, "done", "did "+s.body)
+			})
+		}
+	}
+	old := u.cmd
+	cmd, admin := u.startProcess()
+	var clients []*client
+	for deadline := time.Now().Add(waitLimit); !isReady(admin); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the new process is not ready")
+		}
+		clients = append(clients, u.dial())
+	}
+	var sent []*client
+	for i, c := range clients {
+		_, err := io.WriteString(c, jobRequest(fmt.Sprint("late-", i), "book", "5000m", "x"))
+		if err == nil {
+			sent = append(sent, c)
+		}
+	}
+	eventually(t, "the jobs are forwarded", func() bool { return u.callCount("POST") == len(sent) })
+	check(t, old.Process.Signal(syscall.SIGTERM))
+	signalled := time.Now()
+	check(t, old.Wait())
+	took := time.Since(signalled)
+	if took > sigkillAfter {
+		t.Errorf("the old process ended %v after SIGTERM, when SIGKILL would have come", took)
+	}
+	for _, c := range sent {
+		c.expectResponse(200, "did x")
+	}
+	u.cmd, u.admin = cmd, admin
+	return took > time.Second // it waits for requests that it has, to migrate them
+}
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -35,6 +35,7 @@
 	listener   *eventloop.Listener // to which a child connects; nil: not open
 	inFlight   map[string]float64  // by endpoint, as last sent to the child
 	adopted    int                 // requests that the parent has migrated to this process
+	reported   bool                // the child knows that this process has drained
 }
 
 var _ platform.PeerProcess = (*hotRestart)(nil)
@@ -244,6 +245,7 @@
 	for _, effect := range h.machine.Step(event) {
 		switch effect {
 		case hotrestart.StopAccepting:
+			h.reported = false
 			h.node.front.StopAccepting()
 			h.link.Send(hotrestart.Message{Type: hotrestart.TypeParentReleased,
 				RequestIDs: h.broker().OpenRequestIDs()})
@@ -268,7 +270,8 @@
 }
 
 // sendStatus sends the child this process's in-flight jobs, migrates them hotrestart.MigrateAfter after the
-// shutdown was requested, and reports when no client waits for a response of this process.
+// shutdown was requested, and reports when no client waits for a response of this process for the first time.
+// It goes on after that: a request may still come on a connection that was opened just before the takeover.
 func (h *hotRestart) sendStatus() {
 	if h.machine.Phase() != hotrestart.ParentDraining || h.link == nil {
 		return
@@ -283,9 +286,9 @@
 			h.log.WithField("count", n).Info("hot restart: in-flight requests migrated")
 		}
 	}
-	if h.node.front.Drained() {
+	if !h.reported && h.node.front.Drained() {
+		h.reported = true
 		h.link.Send(hotrestart.Message{Type: hotrestart.TypeParentDrained})
-		return
 	}
 	h.node.loop.After(statusInterval, h.sendStatus)
 }
