Make the emulator's results independent of the processor

Cause, latent: 21 sums whose product arm64 leaves unrounded, and random variates, powers and logarithms that go through functions with assembly on one kind of processor only.

Change: internal/portablemath gets Pow, Exponential and Normal, and the emulator uses them; sums are rounded explicitly. The check of the compiler's output covers the emulator too. A seed's variates are others than before, so its runs are.

--- a/internal/frozen/processors_test.go
+++ b/internal/frozen/processors_test.go
@@ -9,11 +9,13 @@
 )
 
 // portablePackages must compute the same results on every processor.
-var portablePackages = []string{"moorstack/balancer", "moorstack/internal/portablemath"}
+var portablePackages = []string{"moorstack/balancer", "moorstack/internal/portablemath",
+	"moorstack/internal/verify/emulate"}
 
-// Guards against a decision that depends on the processor: a fused multiply-add, which rounds once where
-// other processors round twice, or a function that is assembly on some processors. It reads the compiler's
-// own output, for both processors and with the fused instructions of newer x86-64 ones.
+// Guards against a decision, or a result of the emulator, that depends on the processor: a fused
+// multiply-add, which rounds once where other processors round twice, or a function that is assembly on some
+// processors. It reads the compiler's own output, for both processors and with the fused instructions of
+// newer x86-64 ones.
 func TestDecisionsDoNotDependOnTheProcessor(t *testing.T) {
 	for _, target := range []struct{ name, architecture, level string }{
 		{"arm64", "arm64", "GOARM64=v8.0"},
@@ -22,7 +24,8 @@
 	} {
 		t.Run(target.name, func(t *testing.T) {
 			assembly := compile(t, "GOARCH="+target.architecture, target.level)
-			for _, function := range []string{"balancer.drawSize STEXT", "portablemath.expReduced STEXT"} {
+			for _, function := range []string{"balancer.drawSize STEXT", "portablemath.expReduced STEXT",
+				"emulate.(*Worker).rate STEXT"} {
 				if !strings.Contains(assembly, function) {
 					t.Fatalf("the compiler's output lacks %q", function)
 				}
@@ -76,6 +79,7 @@
 // computed from integers, on every processor.
 var exactFunctions = map[string]bool{
 	"Ceil": true, "Trunc": true, "frexp": true, "ldexp": true, "(*Rand).uint64n": true,
+	"(*Rand).Shuffle": true, "(*Rand).Perm": true,
 }
 
 // processorDependentLines returns the lines of the compiler's output whose result may depend on the
--- a/internal/portablemath/exp.go
+++ b/internal/portablemath/exp.go
@@ -1,5 +1,5 @@
-// Package portablemath computes exponentials and logarithms whose results are the same to the
-// bit on every processor.
+// Package portablemath computes exponentials, logarithms and random variates whose results are the same to
+// the bit on every processor.
 //
 // The functions of the standard library aren't: on some processors they are assembly with another algorithm,
 // and where a processor has fused multiply-add, the compiler may round a product and a sum only once. Here
--- a/internal/portablemath/portablemath_test.go
+++ b/internal/portablemath/portablemath_test.go
@@ -54,19 +54,48 @@
 	}
 }
 
+func TestVariatesHaveTheirMeanAndVariance(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		variate        func(*rand.Rand) float64
+		mean, variance float64
+	}{{"Exponential", Exponential, 1, 1}, {"Normal", Normal, 0, 1}} {
+		const n = 400_000
+		random := rand.New(rand.NewPCG(5, 6))
+		sum, squares := 0.0, 0.0
+		for range n {
+			x := c.variate(random)
+			sum += x
+			squares += x * x
+		}
+		mean := sum / n
+		variance := squares/n - mean*mean
+		if math.Abs(mean-c.mean) > 0.01 || math.Abs(variance-c.variance) > 0.02 {
+			t.Errorf("%s: got mean %v and variance %v, want %v and %v", c.name, mean, variance, c.mean,
+				c.variance)
+		}
+	}
+	for x := 0.001; x < 100; x *= 1.7 {
+		if got, want := Pow(x, 2.5), math.Pow(x, 2.5); math.Abs(got-want) > 1e-13*want {
+			t.Errorf("Pow(%v, 2.5): got %v, want %v", x, got, want)
+		}
+	}
+}
+
 // Guards against results that differ between processors: a digest of many, computed once, holds on all.
 func TestResultsAreTheSameOnEveryProcessor(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
 	digest := fnv.New64a()
 	for range 100_000 {
 		x := (random.Float64() - 0.5) * 200
-		for _, result := range []float64{Exp(x), Exp2(x), Log(math.Abs(x))} {
+		for _, result := range []float64{Exp(x), Exp2(x), Log(math.Abs(x)), Normal(random),
+			Exponential(random)} {
 			if err := binary.Write(digest, binary.BigEndian, result); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
-	const want = 0x384bb029f8b0da58
+	const want = 0x67dc6b634ba764ab
 	if got := digest.Sum64(); got != want {
 		t.Errorf("got the digest %#x, want %#x", got, want)
 	}
--- a/internal/verify/emulate/client.go
+++ b/internal/verify/emulate/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"moorstack/balancer"
+	"moorstack/internal/portablemath"
 )
 
 // clientGroup generates the jobs of one team's clients in one zone.
@@ -47,7 +48,7 @@
 	if g.rateFactor > 0 {
 		rate *= g.rateFactor
 	}
-	g.world.Clock.After(time.Duration(g.arrivalRandom.ExpFloat64()/rate*1e9), func() {
+	g.world.Clock.After(time.Duration(portablemath.Exponential(g.arrivalRandom)/rate*1e9), func() {
 		if g.stopped {
 			return
 		}
--- a/internal/verify/emulate/fault.go
+++ b/internal/verify/emulate/fault.go
@@ -89,7 +89,9 @@
 }
 
 // countOf returns the number of items in a fraction of n, rounded, and at least 1.
-func countOf(fraction float64, n int) int { return min(max(int(fraction*float64(n)+0.5), 1), n) }
+func countOf(fraction float64, n int) int {
+	return min(max(int(float64(fraction*float64(n))+0.5), 1), n)
+}
 
 // selectWorkers draws the workers that the fault affects.
 func (w *World) selectWorkers(f *Fault, random *rand.Rand) []*Worker {
--- a/internal/verify/emulate/fault_storm.go
+++ b/internal/verify/emulate/fault_storm.go
@@ -12,7 +12,9 @@
 // valueRange is an interval from which values are drawn uniformly.
 type valueRange struct{ low, high float64 }
 
-func (s valueRange) draw(random *rand.Rand) float64 { return s.low + (s.high-s.low)*random.Float64() }
+func (s valueRange) draw(random *rand.Rand) float64 {
+	return s.low + float64((s.high-s.low)*random.Float64())
+}
 
 // randomMagnitudes are the ranges of the magnitudes of random faults, by kind.
 var randomMagnitudes = map[string]valueRange{
@@ -44,7 +46,7 @@
 	length := float64(sc.Duration)
 	f := Fault{
 		Kind:     kind,
-		Fraction: 0.05 + 0.45*random.Float64(),
+		Fraction: 0.05 + float64(0.45*random.Float64()),
 		Start:    Duration(length * 0.7 * random.Float64()),
 		Length:   Duration(time.Second + time.Duration(length*0.3*random.Float64())),
 	}
@@ -53,7 +55,7 @@
 	}
 	switch kind {
 	case faultHeavyJobs:
-		f.Fraction = 0.005 + 0.025*random.Float64()
+		f.Fraction = 0.005 + float64(0.025*random.Float64())
 	case faultZoneLost:
 		f.Zone = sc.Zones[random.IntN(len(sc.Zones))]
 	case faultSlowClass:
--- a/internal/verify/emulate/job.go
+++ b/internal/verify/emulate/job.go
@@ -122,7 +122,8 @@
 		return
 	}
 	if retryAfter == 0 || j.group.spec.IgnoreRetryAfter {
-		retryAfter = time.Duration(float64(j.group.spec.Backoff) * (0.5 + j.group.behaviorRandom.Float64()))
+		factor := 0.5 + float64(j.group.behaviorRandom.Float64())
+		retryAfter = time.Duration(float64(j.group.spec.Backoff) * factor)
 	}
 	if j.world.Clock.now+retryAfter >= j.deadline {
 		j.finish(outcomeRejected)
--- a/internal/verify/emulate/jsq.go
+++ b/internal/verify/emulate/jsq.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"moorstack/internal/portablemath"
 )
 
 // JSQ is the standard join-the-shortest-queue model: one dispatcher that sees every queue, N single-slot
@@ -31,7 +33,7 @@
 
 // SampleSize returns d(N), the number of workers to sample out of n: min(n, max(2, ceil(sqrt(n) ln n))).
 func SampleSize(n int) int {
-	return min(n, max(2, int(math.Ceil(math.Sqrt(float64(n))*math.Log(float64(n))))))
+	return min(n, max(2, int(math.Ceil(math.Sqrt(float64(n))*portablemath.Log(float64(n))))))
 }
 
 // jsqRun is the state of a run of a JSQ.
@@ -73,7 +75,7 @@
 func (r *jsqRun) arrive() {
 	r.created++
 	q := r.drawShortest()
-	size := time.Duration(r.sizes.ExpFloat64() * 1e9)
+	size := time.Duration(portablemath.Exponential(r.sizes) * 1e9)
 	if r.created > r.warmUp {
 		r.measure(q)
 	}
@@ -87,7 +89,7 @@
 		r.clock.After(size, func() { r.depart(q) })
 	}
 	if r.created < r.warmUp+r.Jobs {
-		r.clock.After(time.Duration(r.arrivals.ExpFloat64()/(r.Load*float64(r.N))*1e9), r.arrive)
+		r.clock.After(time.Duration(portablemath.Exponential(r.arrivals)/(r.Load*float64(r.N))*1e9), r.arrive)
 	}
 }
 
@@ -136,7 +138,7 @@
 // 1996; Mitzenmacher 1996).
 func MeanFieldTail(load float64, d, k int) float64 {
 	if d == 1 {
-		return math.Pow(load, float64(k))
+		return portablemath.Pow(load, float64(k))
 	}
-	return math.Pow(load, (math.Pow(float64(d), float64(k))-1)/float64(d-1))
+	return portablemath.Pow(load, (portablemath.Pow(float64(d), float64(k))-1)/float64(d-1))
 }
--- a/internal/verify/emulate/metrics.go
+++ b/internal/verify/emulate/metrics.go
@@ -51,13 +51,13 @@
 	m.second(j.world).Arrived++
 	for _, t := range m.tallies(j) {
 		t.Arrived++
-		t.OfferedWeight += j.class.PriorityWeight * j.size
+		t.OfferedWeight += float64(j.class.PriorityWeight * j.size)
 	}
 }
 
 func (m *metrics) finished(j *job, o outcome) {
 	latency := (j.world.Clock.now - j.arrivedAt).Seconds()
-	objective := time.Duration(j.class.LatencyObjective).Seconds() + j.class.ObjectiveStretch*j.size
+	objective := time.Duration(j.class.LatencyObjective).Seconds() + float64(j.class.ObjectiveStretch*j.size)
 	inTime := latency <= objective
 	s := m.second(j.world)
 	switch o {
--- a/internal/verify/emulate/result.go
+++ b/internal/verify/emulate/result.go
@@ -1,7 +1,6 @@
 package emulate
 
 import (
-	"math"
 	"slices"
 )
 
@@ -27,9 +26,9 @@
 	t.latencies = append(t.latencies, latency)
 	if inTime {
 		t.InTime++
-		t.EarnedWeight += j.class.PriorityWeight * j.size
+		t.EarnedWeight += float64(j.class.PriorityWeight * j.size)
 	} else {
-		t.EarnedWeight += j.class.PriorityWeight * j.size * j.class.LateShare
+		t.EarnedWeight += float64(j.class.PriorityWeight * j.size * j.class.LateShare)
 	}
 }
 
@@ -91,7 +90,7 @@
 		offered += t.OfferedWeight
 		earned += t.EarnedWeight
 	}
-	r.EarnedShare = earned / math.Max(offered, 1e-9)
+	r.EarnedShare = earned / max(offered, 1e-9)
 	return r
 }
 
--- a/internal/verify/emulate/scenario.go
+++ b/internal/verify/emulate/scenario.go
@@ -1,11 +1,11 @@
 package emulate
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"moorstack/internal/portablemath"
 	"moorstack/internal/tomlfile"
 )
 
@@ -95,12 +95,13 @@
 	case distConstant:
 		return s.Mean
 	case distLogNormal:
-		return s.Mean * math.Exp(s.Sigma*random.NormFloat64()-s.Sigma*s.Sigma/2)
+		deviation := float64(s.Sigma * portablemath.Normal(random))
+		return s.Mean * portablemath.Exp(deviation-float64(s.Sigma*s.Sigma/2))
 	case distPareto:
 		minimum := s.Mean * (s.Alpha - 1) / s.Alpha
-		return minimum / math.Pow(1-random.Float64(), 1/s.Alpha)
+		return minimum / portablemath.Pow(1-float64(random.Float64()), 1/s.Alpha)
 	}
-	return s.Mean * random.ExpFloat64()
+	return s.Mean * portablemath.Exponential(random)
 }
 
 // WorkerGroup is a group of workers of one kind in one zone.
--- a/internal/verify/emulate/slow_start.go
+++ b/internal/verify/emulate/slow_start.go
@@ -33,16 +33,16 @@
 		return 1
 	}
 	age := float64(w.clock.now-w.startedAt) / float64(w.Spec.SlowStartWindow)
-	return math.Min(1, w.Spec.SlowStartMinShare+(1-w.Spec.SlowStartMinShare)*age)
+	return min(1, w.Spec.SlowStartMinShare+float64((1-w.Spec.SlowStartMinShare)*age))
 }
 
 // slowStartAllowance returns how many jobs of mean work a worker may be sent within a window if the rule
 // allows the given number on average. The margin of 2 to 3 standard deviations covers random variation.
 func slowStartAllowance(allowed float64) float64 {
 	if allowed < 30 {
-		return allowed + 3*math.Sqrt(allowed) + 3
+		return allowed + float64(3*math.Sqrt(allowed)) + 3
 	}
-	return allowed + 2*math.Sqrt(allowed) + 2
+	return allowed + float64(2*math.Sqrt(allowed)) + 2
 }
 
 // checkSlowStart records a job sent to a worker in slow start. The worker collapses if the number of recent
--- a/internal/verify/emulate/worker.go
+++ b/internal/verify/emulate/worker.go
@@ -2,11 +2,11 @@
 
 import (
 	"container/heap"
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"moorstack/balancer"
+	"moorstack/internal/portablemath"
 )
 
 // WorkerSpec describes a kind of worker.
@@ -163,7 +163,7 @@
 func (w *Worker) LoadReport() balancer.LoadReport {
 	if !w.report.Received || w.clock.now-w.reportedAt >= w.Spec.ReportInterval {
 		noisy := func(v float64) float64 {
-			return math.Max(0, v*(1+w.Spec.ReportNoise*w.random.NormFloat64()))
+			return max(0, v*(1+float64(w.Spec.ReportNoise*portablemath.Normal(w.random))))
 		}
 		r := balancer.NoLoadReport
 		r.Received, r.QueueLength = true, noisy(float64(w.QueueLength()))
--- a/internal/verify/emulate/worker_cores.go
+++ b/internal/verify/emulate/worker_cores.go
@@ -45,14 +45,14 @@
 	if len(w.running) == 0 {
 		return 0
 	}
-	share := math.Min(1, float64(w.Spec.Cores)*w.warmUpFactor()/float64(len(w.running)))
+	share := min(1, float64(w.Spec.Cores)*w.warmUpFactor()/float64(len(w.running)))
 	return w.Spec.Speed * share / w.slowdown
 }
 
 // updateWork advances the running jobs to the current time. It must be called before any change that affects
 // the rate.
 func (w *Worker) updateWork() {
-	w.workPerJob += w.rate() * (w.clock.now - w.workUpdatedAt).Seconds()
+	w.workPerJob += float64(w.rate() * (w.clock.now - w.workUpdatedAt).Seconds())
 	w.workUpdatedAt = w.clock.now
 }
 
@@ -63,7 +63,7 @@
 		return
 	}
 	rate := w.rate()
-	left := math.Max(0, w.running[0].finishWork-w.workPerJob) / rate
+	left := max(0, w.running[0].finishWork-w.workPerJob) / rate
 	d := time.Duration(math.Ceil(left * 1e9))
 	if w.warmUpFactor() < 1 {
 		// The rate grows while the worker warms up, so it is recomputed before the job ends.
