Refuse a relayed endpoint list that is older than the one in use

Cause: ApplyList set the generation back to the relayed one without a look at its own, and an instance whose watch had fallen silent still counted as watching discovery.

Change: GenerationTracker.AcceptRelayed refuses a lower generation; the instance then watches discovery itself, by which a restored discovery that counts anew is followed.

--- a/internal/cluster/discovery/discovery.go
+++ b/internal/cluster/discovery/discovery.go
@@ -25,6 +25,10 @@
 	maxWatchTimeout = 4500 * time.Millisecond
 )
 
+// WatchCurrentTime is how long after its last message a watch may be taken to show the current list. It
+// allows for a heartbeat that is late.
+const WatchCurrentTime = watchHeartbeat + 500*time.Millisecond
+
 // pollsPerDrainGrace is the number of polls of a local agent within the grace period of a drain. Two polls in
 // a row may be lost, and the third still reports the drain in time.
 const pollsPerDrainGrace = 4
@@ -110,6 +114,19 @@
 	return &StaleListError{Generation: generation, Newest: t.Generation}
 }
 
+// AcceptRelayed decides whether a list that another node relays is accepted. It returns a *StaleListError if
+// the list must be dropped.
+//
+// The relaying node may have a list that is older than the one that this node got from discovery itself. A
+// lower generation never counts as that of a restored discovery here: only a call to discovery can show that.
+func (t *GenerationTracker) AcceptRelayed(generation int64) error {
+	if generation < t.Generation {
+		return &StaleListError{Generation: generation, Newest: t.Generation}
+	}
+	t.Generation, t.rejectedOlder = generation, false
+	return nil
+}
+
 // Reset makes the next list acceptable regardless of its generation, if its call starts at or after now. It
 // must be called when the address of discovery changes, because each discovery service counts its own
 // generations.
--- a/internal/frontend/platform/discovery.go
+++ b/internal/frontend/platform/discovery.go
@@ -164,11 +164,14 @@
 	}
 }
 
-// WatchesDiscovery reports whether this front watches discovery and has received a list from it. Without the
-// second condition, a front that has just started would relay an empty list.
+// WatchesDiscovery reports whether this front watches discovery, has heard of it within the time between two
+// heartbeats, and has received a list from it. Without the second condition, a front whose watch has fallen
+// silent would relay a list that is out of date, and without the third, one that has just started an empty
+// one.
 func (f *Front) WatchesDiscovery() bool {
 	d := f.discovery
 	return d.watch != nil && !d.watch.closed && d.watch.parser.HeadComplete() &&
+		f.loop.Now()-d.watch.heardAt <= discovery.WatchCurrentTime &&
 		d.generations.Generation > 0 &&
 		!f.initial.pending
 }
@@ -179,14 +182,16 @@
 	f.discovery.onUpdate = notify
 }
 
-// ApplyList applies a list or a delta that another instance has received from discovery and relays.
+// ApplyList applies a list or a delta that another instance has received from discovery and relays. It fails
+// with a *discovery.StaleListError if this front has a newer one.
 func (f *Front) ApplyList(text []byte) error {
 	var list workerList
 	if err := json.Unmarshal(text, &list); err != nil {
 		return fmt.Errorf("decoding a relayed list: %w", err)
 	}
-	// The relaying instance has already checked the order of generations.
-	f.discovery.generations.Generation = list.Generation
+	if err := f.discovery.generations.AcceptRelayed(list.Generation); err != nil {
+		return err
+	}
 	f.discovery.applyUpdate(&list)
 	return nil
 }
--- a/internal/frontend/platform/discovery_call.go
+++ b/internal/frontend/platform/discovery_call.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"moorstack/internal/cluster/discovery"
 	"moorstack/internal/netio/eventloop"
 	"moorstack/internal/netio/http1"
 )
@@ -29,6 +30,7 @@
 	parser    http1.Parser
 	unparsed  []byte // the beginning of a list that is not complete yet
 	startedAt time.Duration
+	heardAt   time.Duration // when the last list or heartbeat came
 	timer     *eventloop.Timer
 	closed    bool
 }
@@ -40,6 +42,7 @@
 		discovery: d,
 		parser:    http1.Parser{ReadsResponses: true, StreamsBody: true},
 		startedAt: d.front.loop.Now(),
+		heardAt:   d.front.loop.Now() - discovery.WatchCurrentTime - 1,
 	}
 	conn, err := d.front.loop.Dial(d.front.cfg.DiscoveryAddress, c)
 	if err != nil {
@@ -161,6 +164,7 @@
 // heartbeat records that nothing has changed since the last list, which is what a blank line from discovery
 // means.
 func (c *discoveryCall) heartbeat() {
+	c.heardAt = c.discovery.front.loop.Now()
 	c.resetTimeout()
 	if c.isWatch() {
 		f := c.discovery.front
@@ -176,6 +180,7 @@
 		c.fail(err)
 		return
 	}
+	c.heardAt = d.front.loop.Now()
 	d.lastCallFailed = false
 	if !c.isWatch() {
 		d.lastPolled = append(d.lastPolled[:0], text...)
--- a/internal/frontend/platform/discovery_test.go
+++ b/internal/frontend/platform/discovery_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
+
+	"moorstack/internal/cluster/discovery"
 )
 
 // The node counts as notified of every change that the agent knows, so a change must be applied even if the
@@ -200,3 +204,53 @@
 	<-done
 	return n, watched
 }
+
+// Guards against a relayed list that replaces a newer one: the relaying instance's watch has fallen silent,
+// and this front has heard from discovery itself that a worker drains.
+func TestRelayedListNeverReplacesANewerOne(t *testing.T) {
+	t.Parallel()
+	a := newDiscovery(t)
+	f := newFront(t, "on_request", a)
+	awaitState(t, f, "SERVING", 20*drainGrace)
+	relayed := func(generation int) error {
+		var text string
+		a.locked(func() {
+			text = strings.Replace(a.list(), fmt.Sprint(a.generation), fmt.Sprint(generation), 1)
+		})
+		text = strings.Replace(text, "DRAINING", "SERVING", 1)
+		result := make(chan error, 1)
+		f.loop.Post(func() { result <- f.ApplyList([]byte(text)) })
+		return <-result
+	}
+	a.setState("DRAINING") // generation 42
+	awaitState(t, f, "DRAINING", 20*drainGrace)
+	var stale *discovery.StaleListError
+	if err := relayed(41); !errors.As(err, &stale) || f.firstWorkerState() != "DRAINING" {
+		t.Errorf("an older relayed list: error %v and state %s, want it dropped", err, f.firstWorkerState())
+	}
+	if err := relayed(43); err != nil || f.firstWorkerState() != "SERVING" {
+		t.Errorf("a newer relayed list: error %v and state %s, want it applied", err, f.firstWorkerState())
+	}
+}
+
+// An instance whose watch has fallen silent must not claim to be current towards those that it relays the
+// list to.
+func TestSilentWatchIsNotCurrent(t *testing.T) {
+	t.Parallel()
+	a := newDiscovery(t)
+	f := newFront(t, "on_request", a)
+	awaitState(t, f, "SERVING", 20*drainGrace)
+	watches := func() bool {
+		result := make(chan bool, 1)
+		f.loop.Post(func() { result <- f.WatchesDiscovery() })
+		return <-result
+	}
+	if !watches() {
+		t.Fatal("the front does not watch although discovery has just sent a list")
+	}
+	a.locked(func() { a.silentWatches = true })
+	time.Sleep(discovery.WatchCurrentTime + 200*time.Millisecond)
+	if watches() {
+		t.Errorf("the front claims to be current %v after the last message", discovery.WatchCurrentTime)
+	}
+}
