Bound the time that Faktory commands get in a turn of the event loop

Cause: both fronts share one loop, and a connection's turn lasted for as long as it had complete commands; timers and all other connections waited for a round of all of them.

Change: the commands of all connections get 2 ms of a turn, at most 16 of a connection before the next one's; the rest waits in a queue. Replies of a turn are written together.

--- a/internal/frontend/faktory/conn.go
+++ b/internal/frontend/faktory/conn.go
@@ -23,6 +23,11 @@
 	fetchQueues  map[string]bool // queues of the last FETCH
 	fetchTimer   *eventloop.Timer
 	scannedBytes int // length of the input known to contain no line end
+
+	processing bool   // a command is being handled, or waits for its turn
+	queued     bool   // it waits for its turn
+	batching   bool   // replies are collected, to be written together
+	replies    []byte // collected replies
 }
 
 var _ eventloop.Handler = (*conn)(nil)
@@ -40,7 +45,30 @@
 	c.reply("+HI " + string(text) + "\r\n")
 }
 
-func (c *conn) reply(text string) { c.conn.Write([]byte(text)) }
+// maxBatchedBytes is the size of collected replies from which they are written.
+const maxBatchedBytes = 32 << 10
+
+func (c *conn) reply(text string) { c.write([]byte(text)) }
+
+// write writes a part of a reply, or collects it while commands are handled: a system call for each reply
+// would cost more than most commands.
+func (c *conn) write(text []byte) {
+	if !c.batching {
+		c.conn.Write(text)
+		return
+	}
+	if c.replies = append(c.replies, text...); len(c.replies) >= maxBatchedBytes {
+		c.flush()
+	}
+}
+
+// flush writes the collected replies.
+func (c *conn) flush() {
+	if len(c.replies) > 0 {
+		c.conn.Write(c.replies)
+		c.replies = c.replies[:0]
+	}
+}
 
 // replyStatus replies with OK, or with the error if there is one.
 func (c *conn) replyStatus(err error) {
@@ -53,7 +81,7 @@
 
 // replyBulk replies with a bulk string.
 func (c *conn) replyBulk(text []byte) {
-	c.conn.Write(append(append(fmt.Appendf(nil, "$%d\r\n", len(text)), text...), "\r\n"...))
+	c.write(append(append(fmt.Appendf(nil, "$%d\r\n", len(text)), text...), "\r\n"...))
 }
 
 // replyJSON replies with the value in JSON, as a bulk string.
@@ -84,6 +112,7 @@
 }
 
 func (c *conn) close() {
+	c.flush()
 	c.conn.CloseAfterFlush()
 	c.OnClose(c.conn, nil)
 }
@@ -104,19 +133,46 @@
 // call.
 func (c *conn) resumeInput() { c.front.loop.After(0, func() { c.OnData(c.conn) }) }
 
-// OnData implements eventloop.Handler. It handles the commands one at a time.
-func (c *conn) OnData(*eventloop.Conn) {
-	for !c.fetching && !c.conn.Closed() && !c.conn.Finishing() {
+// OnData implements eventloop.Handler. The commands are handled in the connection's turn.
+func (c *conn) OnData(*eventloop.Conn) { c.front.turns.serve(c) }
+
+// handleCommands handles the commands in the input one at a time, at most maxCommandsPerTurn. It reports
+// whether more of them may be left that can be handled now.
+func (c *conn) handleCommands() (more bool) {
+	c.batching = true
+	defer func() {
+		c.batching = false
+		c.flush()
+		c.replies = nil
+	}()
+	for range maxCommandsPerTurn {
+		if c.fetching || c.conn.Closed() || c.conn.Finishing() {
+			return false
+		}
 		line, ok := c.readLine()
 		if !ok {
-			return
+			c.endProcessing()
+			return false
 		}
-		c.conn.BeginProcessing()
+		c.beginProcessing()
 		c.handleCommand(line)
-		// A worker's connection must never be closed to shed load: its jobs would be lost.
-		if c.session == nil && !c.conn.Finishing() {
-			c.conn.EndProcessing()
-		}
+	}
+	c.endProcessing()
+	return len(c.conn.Input()) > 0
+}
+
+// beginProcessing keeps the connection from being closed for others while a command is handled or waits.
+func (c *conn) beginProcessing() {
+	c.processing = true
+	c.conn.BeginProcessing()
+}
+
+// endProcessing lets a producer's connection be closed for others again. A worker's must never be: its jobs
+// would be lost.
+func (c *conn) endProcessing() {
+	if c.processing && c.session == nil && !c.conn.Finishing() && !c.conn.Closed() {
+		c.processing = false
+		c.conn.EndProcessing()
 	}
 }
 
--- a/internal/frontend/faktory/front.go
+++ b/internal/frontend/faktory/front.go
@@ -39,6 +39,7 @@
 	routingTable *routing.Table // nil: no rules; the balancer alone selects the worker
 	startedAt    time.Duration
 	counts       counters
+	turns        turns
 }
 
 // counters count jobs and commands since the start of the process.
@@ -50,6 +51,7 @@
 	f := &Front{loop: loop, cfg: cfg, settings: set, log: log, classes: map[string]int{},
 		tenants: map[string]int{}, jobs: map[string]*job{}, sessions: map[string]*session{},
 		startedAt: loop.Now()}
+	f.turns.front = f
 	for i, c := range set.Classes {
 		f.classes[c.Name] = i
 	}
