Move slotmap to the ground floor: the event loop imported it from proxy

Cause: netio/eventloop imported proxy/slotmap, an arrow that ran up; the package has nothing of a proxy.

No code changed.

--- a/internal/frontend/faktory/reservation.go
+++ b/internal/frontend/faktory/reservation.go
@@ -7,7 +7,7 @@
 	"moorstack/balancer"
 	"moorstack/internal/netio/eventloop"
 	"moorstack/internal/proxy/broker"
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 // reservation is an attempt at a worker: a job that waits for the worker's FETCH or that the worker has
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 const (
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"moorstack/internal/netio/kernel"
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 const (
--- a/internal/proxy/broker/attempt.go
+++ b/internal/proxy/broker/attempt.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"moorstack/balancer"
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 // Attempt is one try to serve a request at one endpoint.
--- a/internal/proxy/broker/broker.go
+++ b/internal/proxy/broker/broker.go
@@ -6,7 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"moorstack/balancer"
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 // Clock provides the current time and timers.
--- a/internal/proxy/broker/broker_test.go
+++ b/internal/proxy/broker/broker_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"moorstack/balancer"
-	"moorstack/internal/proxy/slotmap"
+	"moorstack/internal/slotmap"
 )
 
 // fakeClock is a Clock that a test advances.
