Ignore values of load reports that can't be right

Callers saw: after one worker had reported x0=NaN, or an infinite number of free slots, a node rejected every request.

Cause: the balancer keeps the most slots that a worker of a kind has reported and compares loads by it; such a value never leaves the maximum.

--- a/cmd/moorstack/platform_test.go
+++ b/cmd/moorstack/platform_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -290,3 +291,30 @@
 		t.Error(err)
 	}
 }
+
+// Guards against one load report that makes a node reject all requests: a worker reports a number of free
+// slots that is no number, infinite or absurd. The value is ignored, and the worker goes on to get jobs.
+func TestAbsurdLoadReportsAreIgnored(t *testing.T) {
+	for _, value := range []string{"NaN", "Inf", "1e30", "-1e30"} {
+		t.Run(value, func(t *testing.T) {
+			t.Parallel()
+			w := startNode(t, 2, completeJob)
+			var reports atomic.Int64
+			w.intercept = func(rw http.ResponseWriter, r *http.Request) bool {
+				if r.URL.Path != "/_load" {
+					return false
+				}
+				reports.Add(1)
+				fmt.Fprintf(rw, "TEXT pending=0, x0=%s", value)
+				return true
+			}
+			for n := 0; n < 30 || reports.Load() < 10; n++ {
+				request := jobRequest(fmt.Sprint("job-", n), "quote", "4000m", "x")
+				w.dial().send(request).expectResponse(200, "did x")
+			}
+			if w.workers[0].callCount() == 0 || w.workers[1].callCount() == 0 {
+				t.Error("a worker got no job")
+			}
+		})
+	}
+}
--- a/internal/frontend/platform/call_back.go
+++ b/internal/frontend/platform/call_back.go
@@ -76,7 +76,7 @@
 	}
 	report := balancer.NoLoadReport
 	for name, v := range cb.Load {
-		f.names.report.Set(&report, name, v)
+		f.setLoadValue(&report, name, v)
 	}
 	end := func(result balancer.Result, body []byte) bool {
 		return f.broker.EndAttemptAt(cb.RequestID, cb.Worker, result, body, report)
--- a/internal/frontend/platform/front.go
+++ b/internal/frontend/platform/front.go
@@ -41,6 +41,8 @@
 	accountHeader string         // the header field that names a request's account; empty: no account
 	routes        *routing.Table // nil: no rules; the balancer alone selects the worker
 	reuseFailedAt time.Duration  // when a reused worker connection was last reset during a request
+
+	invalidLoadLogged bool // an invalid value of a load report was logged
 }
 
 // New returns a Front that does not serve yet; Open passes it the broker and starts it. The configuration
--- a/internal/frontend/platform/load_report.go
+++ b/internal/frontend/platform/load_report.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"moorstack/balancer"
 	"moorstack/internal/netio/http1"
 )
@@ -25,7 +27,7 @@
 		var values map[string]float64
 		if json.Unmarshal([]byte(s), &values) == nil {
 			for name, v := range values {
-				f.names.report.Set(&r, name, v)
+				f.setLoadValue(&r, name, v)
 			}
 		}
 		return r
@@ -33,8 +35,19 @@
 	for item := range strings.SplitSeq(strings.TrimPrefix(s, "TEXT"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
 		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			f.names.report.Set(&r, name, v)
+			f.setLoadValue(&r, name, v)
 		}
 	}
 	return r
 }
+
+// setLoadValue sets a value of a load report. A value that can't be right is ignored, and the first one
+// logged.
+func (f *Front) setLoadValue(r *balancer.LoadReport, name string, v float64) {
+	if f.names.report.Set(r, name, v) || f.invalidLoadLogged {
+		return
+	}
+	f.invalidLoadLogged = true
+	f.log.WithFields(logrus.Fields{"name": name, "value": v}).
+		Warn("value of a load report ignored, further ones are not logged")
+}
