--- a/internal/frontend/platform/late_response_test.go
+++ b/internal/frontend/platform/late_response_test.go
@@ -126,6 +126,15 @@
 	e.requireStatus(client, 200)
 }
 
+// finishOnNewConn accepts job "b" on a new connection to the worker, and finishes it.
+func (e *lateResponseTest) finishOnNewConn(client net.Conn) {
+	e.t.Helper()
+	c := e.worker.nextConn()
+	c.readRequest(e.t)
+	fmt.Fprint(c, accepted)
+	e.finish("b", client)
+}
+
 // requireClosed fails the test unless the front closes the connection.
 func (e *lateResponseTest) requireClosed(c rawConn) {
 	e.t.Helper()
@@ -146,11 +155,7 @@
 		e := newLateResponseTest(t)
 		fmt.Fprint(e.conn, notProcessed)
 		e.requireClosed(e.conn)
-		client := sendRequest(t, e.address, "b")
-		other := e.worker.nextConn()
-		other.readRequest(t)
-		fmt.Fprint(other, accepted)
-		e.finish("b", client)
+		e.finishOnNewConn(sendRequest(t, e.address, "b"))
 	})
 	t.Run("unread when the next request is written", func(t *testing.T) {
 		t.Parallel()
@@ -160,11 +165,7 @@
 			fmt.Fprint(e.conn, notProcessed)
 			done <- sendRequest(t, e.address, "b")
 		})
-		client := <-done
-		other := e.worker.nextConn()
-		other.readRequest(t)
-		fmt.Fprint(other, accepted)
-		e.finish("b", client)
+		e.finishOnNewConn(<-done)
 	})
 	t.Run("while the next request is written", func(t *testing.T) {
 		t.Parallel()
@@ -187,37 +188,24 @@
 		e.finish("b", client)
 		e.requireClosed(e.conn)
 	})
-	t.Run("after the next request and before its response", func(t *testing.T) {
-		t.Parallel()
-		e := newLateResponseTest(t)
-		client := sendRequest(t, e.address, "b")
-		e.conn.readRequest(t)
-		fmt.Fprint(e.conn, notProcessed)
-		time.Sleep(rejectionConfirmTime / 4)
-		fmt.Fprint(e.conn, accepted)
-		e.finish("b", client)
-		e.requireClosed(e.conn)
-	})
-	t.Run("together with the next request's response", func(t *testing.T) {
-		t.Parallel()
-		e := newLateResponseTest(t)
-		client := sendRequest(t, e.address, "b")
-		e.conn.readRequest(t)
-		fmt.Fprint(e.conn, notProcessed+accepted)
-		e.finish("b", client)
-		e.requireClosed(e.conn)
-	})
-	t.Run("after the next request's response", func(t *testing.T) {
-		t.Parallel()
-		e := newLateResponseTest(t)
-		client := sendRequest(t, e.address, "b")
-		e.conn.readRequest(t)
-		fmt.Fprint(e.conn, accepted)
-		time.Sleep(rejectionConfirmTime / 4)
-		fmt.Fprint(e.conn, notProcessed)
-		e.requireClosed(e.conn)
-		e.finish("b", client)
-	})
+	for name, responses := range map[string][]string{
+		"after the next request and before its response": {notProcessed, accepted},
+		"together with the next request's response":      {notProcessed + accepted},
+		"after the next request's response":              {accepted, notProcessed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newLateResponseTest(t)
+			client := sendRequest(t, e.address, "b")
+			e.conn.readRequest(t)
+			for _, response := range responses {
+				fmt.Fprint(e.conn, response)
+				time.Sleep(rejectionConfirmTime / 4)
+			}
+			e.finish("b", client)
+			e.requireClosed(e.conn)
+		})
+	}
 }
 
 // A worker that turns two requests away on one connection is believed both times, whether its second
